--- /dev/null
+++ b/crates/hyssopstair/src/commands/check.rs
@@ -0,0 +1,36 @@
+//! `hyssopstair check FILE`: checks a rule file.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use error_stack::Report;
+
+use crate::error::CommandError;
+use crate::ops::rule_file::read_rules;
+use crate::shell::PersonShell;
+
+/// Checks a rule file and names every mistake.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// path of the rule file
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when the file cannot be read or has mistakes.
+pub fn exec(args: &CheckArgs, shell: &mut PersonShell) -> Result<(), Report<CommandError>> {
+    let file = read_rules(&args.file)?;
+    shell.line(format!(
+        "{}: {} services, {} drained hosts, {} keys",
+        args.file.display(),
+        file.rules.services.len(),
+        file.rules.drained.len(),
+        file.rules.keys.len()
+    ));
+    Ok(())
+}
--- /dev/null
+++ b/crates/hyssopstair/src/commands/mod.rs
@@ -0,0 +1,45 @@
+//! The command line: one file per command.
+
+pub mod apply;
+pub mod check;
+pub mod keygen;
+pub mod load;
+pub mod show;
+
+use argh::FromArgs;
+use error_stack::Report;
+
+use crate::error::CommandError;
+use crate::shell::PersonShell;
+
+/// Runs hyssopstair's fleet: rules, state and load.
+#[derive(Debug, FromArgs)]
+pub struct TopArgs {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Apply(apply::ApplyArgs),
+    Check(check::CheckArgs),
+    Keygen(keygen::KeygenArgs),
+    Load(load::LoadArgs),
+    Show(show::ShowArgs),
+}
+
+/// Runs the command that the arguments name.
+///
+/// # Errors
+///
+/// Returns the error of the command.
+pub fn exec(args: &TopArgs, shell: &mut PersonShell) -> Result<(), Report<CommandError>> {
+    match &args.command {
+        Command::Apply(args) => apply::exec(args, shell),
+        Command::Check(args) => check::exec(args, shell),
+        Command::Keygen(args) => keygen::exec(args, shell),
+        Command::Load(args) => load::exec(args, shell),
+        Command::Show(args) => show::exec(args, shell),
+    }
+}
--- /dev/null
+++ b/crates/hyssopstair/src/ops/keygen.rs
@@ -0,0 +1,32 @@
+//! Makes secrets and certificates for trials.
+
+use std::fs;
+use std::path::Path;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+
+use crate::error::CommandError;
+use crate::error::FailureKind;
+
+/// Writes a secret, a self-signed certificate and its key to `directory`.
+///
+/// # Errors
+///
+/// Returns an error when a file cannot be written.
+pub fn generate_keys(directory: &Path, names: &[String]) -> Result<(), Report<CommandError>> {
+    let context = || {
+        CommandError::new(
+            FailureKind::Input,
+            format!("failed to write keys to {}", directory.display()),
+        )
+    };
+    fs::create_dir_all(directory).change_context_lazy(context)?;
+    let certified = rcgen::generate_simple_self_signed(names).change_context_lazy(context)?;
+    let secret = format!("{:032x}\n", rand::random::<u128>());
+    let write =
+        |name: &str, text: &str| fs::write(directory.join(name), text).change_context_lazy(context);
+    write("secret.hex", &secret)?;
+    write("certificate.pem", &certified.cert.pem())?;
+    write("private-key.pem", &certified.signing_key.serialize_pem())
+}
--- /dev/null
+++ b/crates/hyssopstair/src/ops/load/caller.rs
@@ -0,0 +1,211 @@
+//! A flow of a caller.
+
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use error_stack::Report;
+use error_stack::ResultExt;
+use h3::client::RequestStream;
+use h3::client::SendRequest;
+use h3_quinn::OpenStreams;
+use http::Request;
+use http::Response;
+use quinn::ClientConfig;
+use quinn::Endpoint;
+use quinn::TransportConfig;
+use quinn::crypto::rustls::QuicClientConfig;
+use rustls::RootCertStore;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+
+use crate::error::CommandError;
+use crate::error::FailureKind;
+
+/// Time between two heartbeats of a flow.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+
+/// Longest wait for a flow to open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Opens flows.
+#[derive(Debug, Clone)]
+pub struct CallerPool {
+    config: ClientConfig,
+}
+
+/// Why a request or a flow has failed.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub struct CallerError(pub String);
+
+/// The stream of a request whose body is sent.
+pub type AnswerStream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
+
+/// A flow to a service.
+#[derive(Clone)]
+pub struct CallerFlow {
+    sender: SendRequest<OpenStreams, Bytes>,
+    service: String,
+    _endpoint: Endpoint,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Status and headers.
+    pub head: Response<()>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl CallerPool {
+    /// Creates a pool of callers that trust a certificate.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the certificate cannot be used.
+    pub fn open(certificate: &Path) -> Result<Self, Report<CommandError>> {
+        let context = || {
+            CommandError::new(
+                FailureKind::Input,
+                format!("failed to use certificate {}", certificate.display()),
+            )
+        };
+        let pem = fs::read(certificate).change_context_lazy(context)?;
+        let mut roots = RootCertStore::empty();
+        for item in CertificateDer::pem_slice_iter(&pem) {
+            roots
+                .add(item.change_context_lazy(context)?)
+                .change_context_lazy(context)?;
+        }
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .change_context_lazy(context)?
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        tls.alpn_protocols = vec![b"h3".to_vec()];
+        let crypto = QuicClientConfig::try_from(tls).change_context_lazy(context)?;
+        let mut config = ClientConfig::new(Arc::new(crypto));
+        let mut transport = TransportConfig::default();
+        transport.keep_alive_interval(Some(KEEP_ALIVE));
+        transport.mtu_discovery_config(None);
+        config.transport_config(Arc::new(transport));
+        Ok(Self { config })
+    }
+
+    /// Opens a flow to a service, from an address of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the flow does not open in time.
+    pub async fn connect(
+        &self,
+        service: &str,
+        address: SocketAddr,
+    ) -> Result<CallerFlow, CallerError> {
+        let failed = |error: &dyn std::fmt::Display| CallerError(error.to_string());
+        let endpoint = Endpoint::client(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+            .map_err(|error| failed(&error))?;
+        let connecting = endpoint
+            .connect_with(self.config.clone(), address, service)
+            .map_err(|error| failed(&error))?;
+        let connection = tokio::time::timeout(OPEN_TIMEOUT, connecting)
+            .await
+            .map_err(|error| failed(&error))?
+            .map_err(|error| failed(&error))?;
+        let connection = h3_quinn::Connection::new(connection);
+        let (mut driver, sender) = h3::client::new(connection)
+            .await
+            .map_err(|error| failed(&error))?;
+        tokio::spawn(async move {
+            let _ = futures::future::poll_fn(|context| driver.poll_close(context)).await;
+        });
+        Ok(CallerFlow {
+            sender,
+            service: service.to_owned(),
+            _endpoint: endpoint,
+        })
+    }
+}
+
+impl CallerFlow {
+    /// Sends a request and returns its answer's head and stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the flow ends before the answer begins.
+    pub async fn ask(
+        &self,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: Bytes,
+    ) -> Result<(Response<()>, AnswerStream), CallerError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("https://{}{path}", self.service))
+            .header("idempotency-key", key)
+            .body(())
+            .map_err(|error| CallerError(error.to_string()))?;
+        let mut sender = self.sender.clone();
+        let mut stream = sender
+            .send_request(request)
+            .await
+            .map_err(|error| CallerError(error.to_string()))?;
+        if !body.is_empty() {
+            stream
+                .send_data(body)
+                .await
+                .map_err(|error| CallerError(error.to_string()))?;
+        }
+        stream
+            .finish()
+            .await
+            .map_err(|error| CallerError(error.to_string()))?;
+        let head = stream
+            .recv_response()
+            .await
+            .map_err(|error| CallerError(error.to_string()))?;
+        Ok((head, stream))
+    }
+
+    /// Sends a request and waits for its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the answer does not come whole.
+    pub async fn ask_whole(
+        &self,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: Bytes,
+    ) -> Result<WholeAnswer, CallerError> {
+        let (head, mut stream) = self.ask(method, path, key, body).await?;
+        let mut bytes = Vec::new();
+        while let Some(chunk) = read_chunk(&mut stream).await? {
+            bytes.extend_from_slice(&chunk);
+        }
+        Ok(WholeAnswer { head, body: bytes })
+    }
+}
+
+/// Reads the next part of an answer, or nothing at its end.
+///
+/// # Errors
+///
+/// Returns an error when the answer ends before it is whole.
+pub async fn read_chunk(stream: &mut AnswerStream) -> Result<Option<Bytes>, CallerError> {
+    let chunk = stream
+        .recv_data()
+        .await
+        .map_err(|error| CallerError(error.to_string()))?;
+    Ok(chunk.map(|mut chunk| chunk.copy_to_bytes(chunk.remaining())))
+}
--- /dev/null
+++ b/crates/hyssopstair/src/shell.rs
@@ -0,0 +1,32 @@
+//! Prints for people: results on standard output, progress and errors on
+//! standard error.
+
+use error_stack::Report;
+
+use crate::error::CommandError;
+
+/// Prints for people.
+#[derive(Debug, Default)]
+pub struct PersonShell {}
+
+impl PersonShell {
+    /// Creates a shell.
+    pub fn new() -> Self {
+        Self {}
+    }
+
+    /// Prints a line of a result.
+    pub fn line(&mut self, text: impl AsRef<str>) {
+        println!("{}", text.as_ref());
+    }
+
+    /// Prints a line about progress.
+    pub fn progress(&mut self, text: impl AsRef<str>) {
+        eprintln!("{}", text.as_ref());
+    }
+
+    /// Prints an error and its causes.
+    pub fn error(&mut self, report: &Report<CommandError>) {
+        eprintln!("error: {report:?}");
+    }
+}
--- /dev/null
+++ b/crates/hyssopstaird/src/admin.rs
@@ -0,0 +1,73 @@
+//! What operators and the fabric ask a daemon, over HTTP.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use error_stack::Report;
+use error_stack::ResultExt;
+use hyssopstair_wire::control::MemberEntry;
+use hyssopstair_wire::control::MemberState;
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use crate::control::node::ControlNode;
+use crate::error::DaemonError;
+
+/// What a daemon reports about itself.
+#[derive(Debug, Serialize)]
+pub struct StatusReport {
+    /// The process.
+    pub process: String,
+    /// The version of the configuration in force.
+    pub version: u64,
+    /// The members that it knows.
+    pub members: Vec<MemberEntry>,
+}
+
+/// Opens the operators' address.
+///
+/// # Errors
+///
+/// Returns an error when the address is in use.
+pub async fn bind(address: SocketAddrV4) -> Result<TcpListener, Report<DaemonError>> {
+    TcpListener::bind(address).await.change_context_lazy(|| {
+        DaemonError::new(format!("failed to listen on admin address {address}"))
+    })
+}
+
+/// Answers until the process ends.
+pub async fn serve(listener: TcpListener, node: Arc<ControlNode>) {
+    let router = Router::new()
+        .route("/status", get(status))
+        .route("/ready", get(ready))
+        .with_state(node);
+    if let Err(error) = axum::serve(listener, router).await {
+        log::error!("admin: {error}");
+    }
+}
+
+async fn status(State(node): State<Arc<ControlNode>>) -> Json<StatusReport> {
+    Json(StatusReport {
+        process: node.me().to_string(),
+        version: node.view().version,
+        members: node.members(),
+    })
+}
+
+/// Ready means: there is a configuration, and the process is not leaving.
+async fn ready(State(node): State<Arc<ControlNode>>) -> StatusCode {
+    let me = node.me();
+    let leaving = node
+        .members()
+        .iter()
+        .any(|entry| entry.process == me && entry.state != MemberState::Alive);
+    if leaving || node.view().version == 0 {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    StatusCode::OK
+}
--- /dev/null
+++ b/crates/hyssopstaird/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! The command line of the daemon.
+
+pub mod run;
--- /dev/null
+++ b/crates/hyssopstaird/src/control/configuration.rs
@@ -0,0 +1,56 @@
+//! Fetches newer configurations from the platform and from peers.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyssopstair_platform::client::PlatformClient;
+use hyssopstair_platform::record::CONFIGURATION_KEY;
+use hyssopstair_platform::record::ConfigurationRecord;
+use hyssopstair_wire::peer::PeerAnswer;
+use hyssopstair_wire::peer::PeerRequest;
+use rand::RngExt;
+
+use crate::control::node::ControlNode;
+use crate::peer;
+
+/// Time between two reads, per member of the fleet.
+const INTERVAL_PER_MEMBER: Duration = Duration::from_millis(20);
+
+/// Shortest time between two reads.
+const MIN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Runs until the process ends.
+pub async fn run(node: Arc<ControlNode>, client: PlatformClient) {
+    loop {
+        match client.get(CONFIGURATION_KEY).await {
+            Ok(Some(stored)) => match ConfigurationRecord::decode(&stored.value) {
+                Ok(record) => {
+                    node.offer_config(record.version, &record.text);
+                }
+                Err(error) => log::warn!("config: the platform holds no record: {error}"),
+            },
+            Ok(None) => {}
+            Err(error) => log::warn!("config: {error}"),
+        }
+        let members = node.members().len() as u32;
+        let interval = (INTERVAL_PER_MEMBER * members).max(MIN_INTERVAL);
+        let jitter = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(interval.mul_f64(jitter)).await;
+    }
+}
+
+/// Fetches the configuration of a peer that said it has a newer one.
+pub fn hear_version(node: &Arc<ControlNode>, from: SocketAddrV4, version: u64) {
+    let above = node.view().version;
+    if version <= above {
+        return;
+    }
+    let node = node.clone();
+    tokio::spawn(async move {
+        let request = PeerRequest::Configuration { above };
+        if let Ok(PeerAnswer::Configuration { version, text }) = peer::ask(from, request).await {
+            node.offer_config(version, &text);
+        }
+    });
+}
--- /dev/null
+++ b/crates/hyssopstaird/src/control/entries.rs
@@ -0,0 +1,70 @@
+//! Finds the first members through the platform.
+//!
+//! The platform keeps a bounded number of addresses. A process reads them until
+//! it has found others, and takes over a slot whose holder is unknown to it.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyssopstair_platform::client::PlatformClient;
+use hyssopstair_platform::client::PlatformError;
+use hyssopstair_platform::client::StoredKey;
+use hyssopstair_platform::record::ENTRY_PREFIX;
+use hyssopstair_platform::record::ENTRY_SLOTS;
+use hyssopstair_platform::record::entry_key;
+use hyssopstair_wire::control::MemberState;
+use rand::RngExt;
+
+use crate::control::node::ControlNode;
+
+/// Time between two looks at the entries, per member of the fleet.
+const INTERVAL_PER_MEMBER: Duration = Duration::from_millis(20);
+
+/// Shortest time between two looks.
+const MIN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Runs until the process ends.
+pub async fn run(node: Arc<ControlNode>, client: PlatformClient) {
+    loop {
+        if let Err(error) = refresh(&node, &client).await {
+            log::warn!("entries: {error}");
+        }
+        let members = node.members().len() as u32;
+        let interval = (INTERVAL_PER_MEMBER * members).max(MIN_INTERVAL);
+        let jitter = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(interval.mul_f64(jitter)).await;
+    }
+}
+
+async fn refresh(node: &ControlNode, client: &PlatformClient) -> Result<(), PlatformError> {
+    let entries = client.get_prefix(ENTRY_PREFIX).await?;
+    for address in entries.iter().filter_map(entry_address) {
+        node.add_contact(address);
+    }
+    let slot = rand::rng().random_range(0..ENTRY_SLOTS);
+    let key = entry_key(slot);
+    let held = entries.iter().find(|entry| entry.key == key);
+    if held.is_some_and(|entry| is_live(node, entry)) {
+        return Ok(());
+    }
+    let revision = held.map_or(0, |entry| entry.stored.revision);
+    let value = node.me().address.to_string();
+    client
+        .compare_and_swap(&key, revision, value.as_bytes())
+        .await?;
+    Ok(())
+}
+
+fn entry_address(entry: &StoredKey) -> Option<SocketAddrV4> {
+    std::str::from_utf8(&entry.stored.value).ok()?.parse().ok()
+}
+
+fn is_live(node: &ControlNode, entry: &StoredKey) -> bool {
+    let Some(address) = entry_address(entry) else {
+        return false;
+    };
+    node.members()
+        .iter()
+        .any(|member| member.process.address == address && member.state == MemberState::Alive)
+}
--- /dev/null
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -0,0 +1,233 @@
+//! The state that all parts of a daemon share.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use arc_swap::ArcSwap;
+use error_stack::Report;
+use error_stack::ResultExt;
+use hyssopstair_roster::state::RosterAction;
+use hyssopstair_roster::state::RosterState;
+use hyssopstair_roster::versions::ConfigState;
+use hyssopstair_routing::view::RoutingView;
+use hyssopstair_rules::settings::DaemonSettings;
+use hyssopstair_rules::settings::RoleSettings;
+use hyssopstair_wire::address::HostIncarnation;
+use hyssopstair_wire::address::ProcessId;
+use hyssopstair_wire::address::ServiceId;
+use hyssopstair_wire::control::ControlMessage;
+use hyssopstair_wire::control::MemberEntry;
+use hyssopstair_wire::control::MemberRole;
+use hyssopstair_wire::control::MemberState;
+use hyssopstair_wire::packet::PacketKind;
+use hyssopstair_wire::packet::encode_packet;
+use hyssopstair_wire::token::FleetSecret;
+use tokio::net::UdpSocket;
+
+use crate::clock::ProcessClock;
+use crate::clock::unix_millis;
+use crate::error::DaemonError;
+use crate::secret::read_secret;
+
+/// Rounds in which a last word is sent to other members.
+const FAREWELL_ROUNDS: usize = 3;
+
+/// What a host announces before its configuration names its service.
+const UNKNOWN_SERVICE: ServiceId = ServiceId(0);
+
+/// The state that all parts of a daemon share.
+#[derive(Debug)]
+pub struct ControlNode {
+    /// The clock that decisions are given.
+    pub clock: ProcessClock,
+    /// The socket for packets and control messages.
+    pub socket: Arc<UdpSocket>,
+    /// The secret of the fleet.
+    pub secret: FleetSecret,
+    /// The name of the service, for a host.
+    pub service_name: Option<String>,
+    zone_name: String,
+    me: ProcessId,
+    roster: Mutex<RosterState>,
+    config: Mutex<ConfigState>,
+    view: ArcSwap<RoutingView>,
+}
+
+impl ControlNode {
+    /// Opens the inner socket and creates the state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address is in use or there is no secret.
+    pub async fn start(settings: &DaemonSettings) -> Result<Self, Report<DaemonError>> {
+        let secret = read_secret(&settings.secret)?;
+        let socket = UdpSocket::bind(settings.inner)
+            .await
+            .change_context_lazy(|| {
+                DaemonError::new(format!(
+                    "failed to listen on inner address {}",
+                    settings.inner
+                ))
+            })?;
+        let me = ProcessId {
+            address: settings.inner,
+            incarnation: HostIncarnation::at(unix_millis()),
+        };
+        let (role, service_name) = initial_role(&settings.role);
+        let entry = MemberEntry {
+            process: me,
+            counter: 0,
+            role,
+            state: MemberState::Alive,
+        };
+        let config = ConfigState::default();
+        let roster = RosterState::new(entry, rand::random());
+        let view = RoutingView::build(0, config.rules().clone(), &secret, &[]);
+        Ok(Self {
+            clock: ProcessClock::start(),
+            socket: Arc::new(socket),
+            secret,
+            service_name,
+            zone_name: settings.zone.clone(),
+            me,
+            roster: Mutex::new(roster),
+            config: Mutex::new(config),
+            view: ArcSwap::from_pointee(view),
+        })
+    }
+
+    /// Returns the name of the process.
+    pub fn me(&self) -> ProcessId {
+        self.me
+    }
+
+    /// Returns the present view.
+    pub fn view(&self) -> Arc<RoutingView> {
+        self.view.load_full()
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> ConfigState {
+        lock(&self.config).clone()
+    }
+
+    /// Returns the members that are known.
+    pub fn members(&self) -> Vec<MemberEntry> {
+        lock(&self.roster).members().to_vec()
+    }
+
+    /// Adds an address where a member may be found.
+    pub fn add_contact(&self, address: SocketAddrV4) {
+        lock(&self.roster).add_contact(address);
+    }
+
+    /// Takes a configuration if it is newer, and returns whether it did.
+    pub fn offer_config(&self, version: u64, text: &str) -> bool {
+        let taken = lock(&self.config).offer(version, text);
+        if taken {
+            log::info!("config: version {version} is in force");
+            self.announce_role();
+            self.rebuild_view();
+        }
+        taken
+    }
+
+    /// Takes in a control message.
+    pub async fn receive_control(&self, message: &ControlMessage) {
+        let actions = self.change_roster(|roster, node| roster.receive(message, node.clock.now()));
+        self.carry_out(&actions).await;
+    }
+
+    /// Does what is due.
+    pub async fn tick(&self) {
+        let version = lock(&self.config).version();
+        let actions = self.change_roster(|roster, node| roster.tick(version, node.clock.now()));
+        self.carry_out(&actions).await;
+    }
+
+    /// Changes what the process says about itself and tells other members.
+    pub async fn declare(&self, state: MemberState) {
+        self.change_roster(|roster, _| roster.declare(state));
+        for _ in 0..FAREWELL_ROUNDS {
+            let version = lock(&self.config).version();
+            let actions = lock(&self.roster).farewell(version);
+            self.carry_out(&actions).await;
+        }
+    }
+
+    fn announce_role(&self) {
+        let Some(name) = &self.service_name else {
+            return;
+        };
+        let rules = lock(&self.config).rules().clone();
+        let Some(service) = rules.service_named(name) else {
+            return;
+        };
+        let role = MemberRole::Host {
+            service: service.id,
+            zone: rules.zone(&self.zone_name).unwrap_or(0),
+            weight: 1,
+        };
+        lock(&self.roster).declare_role(role);
+    }
+
+    fn change_roster<T>(&self, change: impl FnOnce(&mut RosterState, &Self) -> T) -> T {
+        let mut roster = lock(&self.roster);
+        let before = roster.changes();
+        let result = change(&mut roster, self);
+        let changed = roster.changes() != before;
+        drop(roster);
+        if changed {
+            self.rebuild_view();
+        }
+        result
+    }
+
+    fn rebuild_view(&self) {
+        // The roster lock is held to the end, so that of two rebuilds the later
+        // one is the one that stays.
+        let roster = lock(&self.roster);
+        let config = lock(&self.config).clone();
+        let view = RoutingView::build(
+            config.version(),
+            config.rules().clone(),
+            &self.secret,
+            roster.members(),
+        );
+        self.view.store(Arc::new(view));
+    }
+
+    async fn carry_out(&self, actions: &[RosterAction]) {
+        for action in actions {
+            let RosterAction::Send { to, message } = action;
+            let Ok(packet) = encode_packet(PacketKind::Control, message, &[]) else {
+                log::warn!("gossip: a message is too long");
+                continue;
+            };
+            // A lost message is repaired by later rounds.
+            let _ = self.socket.send_to(&packet, to).await;
+        }
+    }
+}
+
+fn initial_role(settings: &RoleSettings) -> (MemberRole, Option<String>) {
+    match settings {
+        RoleSettings::Balancer(_) => (MemberRole::Balancer, None),
+        RoleSettings::Host(host) => {
+            let role = MemberRole::Host {
+                service: UNKNOWN_SERVICE,
+                zone: 0,
+                weight: 1,
+            };
+            (role, Some(host.service.clone()))
+        }
+    }
+}
+
+/// Locks a mutex; a panic elsewhere leaves its state usable.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/hyssopstaird/src/host/ingress.rs
@@ -0,0 +1,95 @@
+//! Takes in the packets that other processes send to a host.
+
+use std::sync::Arc;
+
+use hyssopstair_routing::host::HostAction;
+use hyssopstair_routing::host::HostGate;
+use hyssopstair_routing::reset::reset_packet;
+use hyssopstair_wire::packet::ForwardHeader;
+use hyssopstair_wire::packet::MAX_PACKET_LENGTH;
+use hyssopstair_wire::packet::PacketKind;
+use hyssopstair_wire::packet::ReturnHeader;
+use hyssopstair_wire::packet::encode_packet;
+use hyssopstair_wire::packet::split_kind;
+use hyssopstair_wire::packet::split_message;
+
+use crate::control::configuration;
+use crate::control::gossip;
+use crate::control::node::lock;
+use crate::host::state::HostState;
+
+/// Tasks that read the inner socket.
+const READERS: usize = 2;
+
+/// Starts the readers.
+pub fn spawn(state: &Arc<HostState>) {
+    for _ in 0..READERS {
+        tokio::spawn(read_inner(state.clone()));
+    }
+}
+
+async fn read_inner(state: Arc<HostState>) {
+    let mut buffer = vec![0; MAX_PACKET_LENGTH];
+    loop {
+        let Ok((length, _)) = state.node.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match split_kind(&buffer[..length]) {
+            Ok((PacketKind::Forward, rest)) => receive(&state, rest).await,
+            Ok((PacketKind::Control, rest)) => gossip::receive(&state.node, rest).await,
+            Ok((PacketKind::Return, _)) | Err(_) => {}
+        }
+    }
+}
+
+async fn receive(state: &Arc<HostState>, rest: &[u8]) {
+    let Ok((header, datagram)) = split_message::<ForwardHeader>(rest) else {
+        return;
+    };
+    configuration::hear_version(&state.node, header.balancer, header.version);
+    let Some(service) = state.service_id() else {
+        return;
+    };
+    let load = state.load();
+    let now = state.node.clock.now();
+    let action = lock(&state.gate)
+        .get_or_insert_with(|| HostGate::new(state.node.me(), service))
+        .receive(&header, datagram, &load, now);
+    match action {
+        HostAction::Accept => {
+            lock(state.returns(header.caller)).hear(&header, now);
+            state.queue.push(header.caller, datagram.to_vec());
+        }
+        HostAction::PassOn { host, header } => {
+            if let Ok(packet) = encode_packet(PacketKind::Forward, &header, datagram) {
+                let _ = state.node.socket.send_to(&packet, host.address).await;
+            }
+        }
+        HostAction::Reset { connection } => {
+            send_reset(state, &header, connection, datagram.len()).await;
+        }
+        HostAction::Drop(reason) => log::debug!("ingress: dropped a packet: {reason:?}"),
+    }
+}
+
+async fn send_reset(
+    state: &HostState,
+    header: &ForwardHeader,
+    connection: &[u8],
+    trigger_length: usize,
+) {
+    let key = state.node.secret.derive(b"reset");
+    let Some(reset) = reset_packet(&key, connection, trigger_length, rand::random()) else {
+        return;
+    };
+    let back = ReturnHeader {
+        service: header.service,
+        caller: header.caller,
+        target: header.target,
+        version: state.node.view().version,
+        trace: None,
+    };
+    if let Ok(packet) = encode_packet(PacketKind::Return, &back, &reset) {
+        let _ = state.node.socket.send_to(&packet, header.balancer).await;
+    }
+}
--- /dev/null
+++ b/crates/hyssopstaird/src/host/server.rs
@@ -0,0 +1,163 @@
+//! Serves HTTP/3 to callers.
+
+use std::fs;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::Report;
+use error_stack::ResultExt;
+use hyssopstair_rules::settings::HostSettings;
+use quinn::EndpointConfig;
+use quinn::IdleTimeout;
+use quinn::ServerConfig;
+use quinn::TransportConfig;
+use quinn::VarInt;
+use quinn::crypto::rustls::QuicServerConfig;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::PrivateKeyDer;
+use rustls::pki_types::pem::PemObject;
+
+use crate::error::DaemonError;
+use crate::host::connection::ResetKey;
+use crate::host::connection::TokenIssuer;
+use crate::host::proxy;
+use crate::host::socket::FlowSocket;
+use crate::host::state::HostState;
+
+/// A flow that is silent for this long is gone.
+const IDLE_TIMEOUT_MILLIS: u32 = 30_000;
+
+/// Time between two heartbeats of a flow.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// Requests of one flow that run at once.
+const MAX_STREAMS: u32 = 256;
+
+/// Time between two looks at what a leaving host still waits for.
+const DRAIN_LOOK: Duration = Duration::from_millis(500);
+
+/// A host at work.
+#[derive(Debug)]
+pub struct HostHandle {
+    endpoint: quinn::Endpoint,
+    state: Arc<HostState>,
+}
+
+impl HostHandle {
+    /// Creates the handle.
+    pub fn new(endpoint: quinn::Endpoint, state: Arc<HostState>) -> Self {
+        Self { endpoint, state }
+    }
+
+    /// Takes nothing new and waits until all flows have ended.
+    pub async fn drain(&self) {
+        self.state.start_draining();
+        loop {
+            let flows = self.state.flows();
+            if flows == 0 {
+                break;
+            }
+            log::info!("host: leaving, waiting for {flows} flows");
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+        self.endpoint.wait_idle().await;
+    }
+}
+
+/// Opens the QUIC endpoint over the inner socket.
+///
+/// # Errors
+///
+/// Returns an error when the certificate or its key cannot be used.
+pub fn open_endpoint(
+    settings: &HostSettings,
+    state: &Arc<HostState>,
+) -> Result<quinn::Endpoint, Report<DaemonError>> {
+    let socket = Arc::new(FlowSocket::new(state.clone()));
+    let config = server_config(settings)?;
+    let runtime = Arc::new(quinn::TokioRuntime);
+    quinn::Endpoint::new_with_abstract_socket(endpoint_config(state), Some(config), socket, runtime)
+        .change_context_lazy(|| DaemonError::new("failed to open the QUIC endpoint"))
+}
+
+fn endpoint_config(state: &Arc<HostState>) -> EndpointConfig {
+    let reset_key = ResetKey::new(state.node.secret.derive(b"reset"));
+    let mut config = EndpointConfig::new(Arc::new(reset_key));
+    let state = state.clone();
+    let nonce = Arc::new(AtomicU32::new(rand::random()));
+    config.cid_generator(move || Box::new(TokenIssuer::new(state.clone(), nonce.clone())));
+    config
+}
+
+fn server_config(settings: &HostSettings) -> Result<ServerConfig, Report<DaemonError>> {
+    let context = || {
+        DaemonError::new(format!(
+            "failed to use certificate {} and key {}",
+            settings.certificate.display(),
+            settings.private_key.display()
+        ))
+    };
+    let certificate = fs::read(&settings.certificate).change_context_lazy(context)?;
+    let chain = CertificateDer::pem_slice_iter(&certificate)
+        .collect::<Result<Vec<_>, _>>()
+        .change_context_lazy(context)?;
+    let key = fs::read(&settings.private_key).change_context_lazy(context)?;
+    let key = PrivateKeyDer::from_pem_slice(&key).change_context_lazy(context)?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .change_context_lazy(context)?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .change_context_lazy(context)?;
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    let crypto = QuicServerConfig::try_from(tls).change_context_lazy(context)?;
+    let mut config = ServerConfig::with_crypto(Arc::new(crypto));
+    config.transport_config(Arc::new(transport_config()));
+    Ok(config)
+}
+
+fn transport_config() -> TransportConfig {
+    let mut config = TransportConfig::default();
+    config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(
+        IDLE_TIMEOUT_MILLIS,
+    ))));
+    config.keep_alive_interval(Some(KEEP_ALIVE));
+    config.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    // The inner header takes space in front of each datagram.
+    config.mtu_discovery_config(None);
+    config
+}
+
+/// Accepts flows until the endpoint closes.
+pub async fn accept_flows(endpoint: quinn::Endpoint, state: Arc<HostState>) {
+    while let Some(incoming) = endpoint.accept().await {
+        let state = state.clone();
+        tokio::spawn(async move {
+            let Ok(connection) = incoming.await else {
+                return;
+            };
+            state.open_flow();
+            serve_flow(connection, &state).await;
+            state.close_flow();
+        });
+    }
+}
+
+async fn serve_flow(connection: quinn::Connection, state: &Arc<HostState>) {
+    let connection = h3_quinn::Connection::new(connection);
+    let server = h3::server::Connection::<_, Bytes>::new(connection).await;
+    let Ok(mut server) = server else {
+        return;
+    };
+    while let Ok(Some(resolver)) = server.accept().await {
+        let state = state.clone();
+        tokio::spawn(async move {
+            if let Ok((request, stream)) = resolver.resolve_request().await {
+                proxy::serve_request(&state, request, stream).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/hyssopstaird/src/host/socket.rs
@@ -0,0 +1,164 @@
+//! The socket that QUIC sees.
+//!
+//! QUIC reads datagrams of callers that [`crate::host::ingress`] has accepted,
+//! and what it sends to a caller is wrapped and sent to a balancer.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::io;
+use std::io::IoSliceMut;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+
+use hyssopstair_wire::entry::ipv4;
+use hyssopstair_wire::packet::PacketKind;
+use hyssopstair_wire::packet::ReturnHeader;
+use hyssopstair_wire::packet::encode_packet;
+use quinn::AsyncUdpSocket;
+use quinn::UdpPoller;
+use quinn::udp::RecvMeta;
+use quinn::udp::Transmit;
+
+use crate::control::node::lock;
+use crate::host::state::HostState;
+
+/// Datagrams that wait for QUIC at most; later ones are dropped, as by a
+/// kernel whose buffer is full.
+const MAX_QUEUED: usize = 8_192;
+
+/// Datagrams on their way to QUIC.
+#[derive(Debug, Default)]
+pub struct PacketQueue {
+    inner: Mutex<QueueState>,
+}
+
+#[derive(Debug, Default)]
+struct QueueState {
+    packets: VecDeque<(SocketAddrV4, Vec<u8>)>,
+    waker: Option<Waker>,
+}
+
+impl PacketQueue {
+    /// Adds a datagram of a caller.
+    pub fn push(&self, caller: SocketAddrV4, datagram: Vec<u8>) {
+        let mut state = lock(&self.inner);
+        if state.packets.len() >= MAX_QUEUED {
+            return;
+        }
+        state.packets.push_back((caller, datagram));
+        if let Some(waker) = state.waker.take() {
+            waker.wake();
+        }
+    }
+
+    fn poll_pop(&self, context: &mut Context<'_>) -> Poll<(SocketAddrV4, Vec<u8>)> {
+        let mut state = lock(&self.inner);
+        match state.packets.pop_front() {
+            Some(packet) => Poll::Ready(packet),
+            None => {
+                state.waker = Some(context.waker().clone());
+                Poll::Pending
+            }
+        }
+    }
+}
+
+/// The socket that QUIC sees.
+pub struct FlowSocket {
+    state: Arc<HostState>,
+}
+
+impl FlowSocket {
+    /// Creates the socket.
+    pub fn new(state: Arc<HostState>) -> Self {
+        Self { state }
+    }
+}
+
+impl fmt::Debug for FlowSocket {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("FlowSocket")
+    }
+}
+
+impl AsyncUdpSocket for FlowSocket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(ReadyPoller)
+    }
+
+    fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        let Some(caller) = ipv4(transmit.destination) else {
+            return Ok(());
+        };
+        let now = self.state.node.clock.now();
+        let route = lock(self.state.returns(caller)).route(caller, now);
+        let Some(route) = route else {
+            return Ok(());
+        };
+        let Some(service) = self.state.service_id() else {
+            return Ok(());
+        };
+        let header = ReturnHeader {
+            service,
+            caller,
+            target: route.target,
+            version: self.state.node.view().version,
+            trace: None,
+        };
+        let Ok(packet) = encode_packet(PacketKind::Return, &header, transmit.contents) else {
+            return Ok(());
+        };
+        let target = SocketAddr::V4(route.balancer);
+        match self.state.node.socket.try_send_to(&packet, target) {
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                self.state.lose_balancer(route.balancer);
+                Ok(())
+            }
+            // A full buffer loses the datagram, as a network would.
+            _ => Ok(()),
+        }
+    }
+
+    fn poll_recv(
+        &self,
+        context: &mut Context<'_>,
+        buffers: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let (caller, datagram) = match self.state.queue.poll_pop(context) {
+            Poll::Ready(packet) => packet,
+            Poll::Pending => return Poll::Pending,
+        };
+        let length = datagram.len().min(buffers[0].len());
+        buffers[0][..length].copy_from_slice(&datagram[..length]);
+        meta[0] = RecvMeta::default();
+        meta[0].addr = SocketAddr::V4(caller);
+        meta[0].len = length;
+        meta[0].stride = length;
+        Poll::Ready(Ok(1))
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.state.node.socket.local_addr()
+    }
+
+    fn may_fragment(&self) -> bool {
+        false
+    }
+}
+
+/// Always ready: a datagram that cannot be sent is lost.
+#[derive(Debug)]
+struct ReadyPoller;
+
+impl UdpPoller for ReadyPoller {
+    fn poll_writable(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/crates/hyssopstaird/src/ops/mod.rs
@@ -0,0 +1,3 @@
+//! What the commands do.
+
+pub mod run;
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decisions about packets: where a balancer sends one, and what a host does
+//! with one that it is sent.
+//!
+//! Nothing here opens a socket or reads a clock. Start with [`balancer`] for
+//! the way from callers to hosts, and [`host`] for what a host accepts.
+
+pub mod balancer;
+pub mod host;
+pub mod placement;
+pub mod quic;
+pub mod reset;
+pub mod view;
--- /dev/null
+++ b/crates/routing/src/view.rs
@@ -0,0 +1,148 @@
+//! What a process knows at one moment: rules, keys and members, ordered for
+//! the decisions about packets.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use hyssopstair_rules::rule_set::RuleSet;
+use hyssopstair_wire::address::HostIncarnation;
+use hyssopstair_wire::address::ProcessId;
+use hyssopstair_wire::address::ServiceId;
+use hyssopstair_wire::control::MemberEntry;
+use hyssopstair_wire::control::MemberRole;
+use hyssopstair_wire::control::MemberState;
+use hyssopstair_wire::token::FleetSecret;
+use hyssopstair_wire::token::KeyRing;
+
+use crate::placement::PlacementCandidate;
+
+/// The hosts of one service that may take new flows.
+#[derive(Debug, Clone)]
+struct ServiceHosts {
+    service: ServiceId,
+    candidates: Vec<PlacementCandidate>,
+}
+
+/// The life of the process at one address.
+#[derive(Debug, Clone, Copy)]
+struct KnownProcess {
+    address: SocketAddrV4,
+    incarnation: HostIncarnation,
+    gone: bool,
+}
+
+/// Rules, keys and members at one moment.
+#[derive(Debug, Clone)]
+pub struct RoutingView {
+    /// Version of the rules.
+    pub version: u64,
+    /// The rules.
+    pub rules: Arc<RuleSet>,
+    /// The route keys that are honoured.
+    pub ring: KeyRing,
+    placement_secret: [u8; 16],
+    hosts: Vec<ServiceHosts>,
+    processes: Vec<KnownProcess>,
+}
+
+impl RoutingView {
+    /// Orders rules and members for look-up. `members` is sorted by address.
+    pub fn build(
+        version: u64,
+        rules: Arc<RuleSet>,
+        secret: &FleetSecret,
+        members: &[MemberEntry],
+    ) -> Self {
+        let ring = KeyRing::derive(secret, &rules.keys);
+        let hosts = group_hosts(&rules, members);
+        let processes = members.iter().map(known_process).collect();
+        Self {
+            version,
+            rules,
+            ring,
+            placement_secret: secret.derive(b"placement"),
+            hosts,
+            processes,
+        }
+    }
+
+    /// Returns the hosts of a service that may take new flows.
+    pub fn candidates(&self, service: ServiceId) -> &[PlacementCandidate] {
+        match self
+            .hosts
+            .binary_search_by_key(&service, |item| item.service)
+        {
+            Ok(index) => &self.hosts[index].candidates,
+            Err(_) => &[],
+        }
+    }
+
+    /// Returns the secret that goes into the placement of flows.
+    pub fn placement_secret(&self) -> &[u8; 16] {
+        &self.placement_secret
+    }
+
+    /// Returns whether a process is known to be there no longer.
+    pub fn is_gone(&self, process: ProcessId) -> bool {
+        let found = self
+            .processes
+            .binary_search_by_key(&process.address, |known| known.address);
+        let Ok(index) = found else {
+            return false;
+        };
+        let known = &self.processes[index];
+        known.incarnation > process.incarnation
+            || (known.incarnation == process.incarnation && known.gone)
+    }
+}
+
+fn known_process(entry: &MemberEntry) -> KnownProcess {
+    KnownProcess {
+        address: entry.process.address,
+        incarnation: entry.process.incarnation,
+        gone: entry.state == MemberState::Gone,
+    }
+}
+
+fn group_hosts(rules: &RuleSet, members: &[MemberEntry]) -> Vec<ServiceHosts> {
+    let mut hosts: Vec<ServiceHosts> = rules
+        .services
+        .iter()
+        .map(|service| ServiceHosts {
+            service: service.id,
+            candidates: Vec::new(),
+        })
+        .collect();
+    for entry in members {
+        let Some((service, candidate)) = candidate(rules, entry) else {
+            continue;
+        };
+        if let Ok(index) = hosts.binary_search_by_key(&service, |item| item.service) {
+            hosts[index].candidates.push(candidate);
+        }
+    }
+    hosts
+}
+
+fn candidate(rules: &RuleSet, entry: &MemberEntry) -> Option<(ServiceId, PlacementCandidate)> {
+    let MemberRole::Host {
+        service,
+        zone,
+        weight,
+    } = entry.role
+    else {
+        return None;
+    };
+    // A suspect keeps its place: moving flows on a mere suspicion would part
+    // the packets of handshakes, and a suspect that is alive has lost nothing.
+    let takes_new = matches!(entry.state, MemberState::Alive | MemberState::Suspect);
+    if !takes_new || rules.is_drained(entry.process.address) {
+        return None;
+    }
+    let zone_weight = rules.service(service)?.weight(zone);
+    let candidate = PlacementCandidate {
+        host: entry.process,
+        weight: zone_weight.saturating_mul(weight.max(1)),
+    };
+    Some((service, candidate))
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,3 @@
+//! Logs, metrics and traces of the daemons.
+
+pub mod logs;
--- /dev/null
+++ b/crates/testkit/examples/backend.rs
@@ -0,0 +1,41 @@
+//! The stand-in for a backend server.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use hyssopstair_testkit::backend::BackendBehaviour;
+use hyssopstair_testkit::backend::BackendServer;
+use tokio::net::TcpListener;
+
+/// Answers requests and feeds of one service.
+#[derive(FromArgs)]
+struct BackendArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+
+    /// name of the service
+    #[argh(option)]
+    service: String,
+
+    /// requests that run at once
+    #[argh(option, default = "3")]
+    slots: usize,
+
+    /// time that a request takes, in milliseconds
+    #[argh(option, default = "20")]
+    work: u64,
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let args: BackendArgs = argh::from_env();
+    let behaviour = BackendBehaviour {
+        slots: args.slots,
+        work_millis: args.work,
+        ..BackendBehaviour::default()
+    };
+    let server = BackendServer::new(&args.service, behaviour);
+    let listener = TcpListener::bind(args.listen).await?;
+    axum::serve(listener, server.router()).await
+}
--- /dev/null
+++ b/crates/testkit/examples/platform.rs
@@ -0,0 +1,22 @@
+//! The stand-in for the platform's key-value service.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use hyssopstair_testkit::platform::PlatformStore;
+use tokio::net::TcpListener;
+
+/// Keeps keys and values in memory, with the etcd v3 API in JSON.
+#[derive(FromArgs)]
+struct PlatformArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let args: PlatformArgs = argh::from_env();
+    let listener = TcpListener::bind(args.listen).await?;
+    axum::serve(listener, PlatformStore::default().router()).await
+}
--- /dev/null
+++ b/crates/testkit/src/platform.rs
@@ -0,0 +1,197 @@
+//! A stand-in for the platform's key-value service: the etcd v3 API in its JSON
+//! form, in memory, with faults on request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::post;
+use hyssopstair_platform::protocol::Compare;
+use hyssopstair_platform::protocol::KeyValue;
+use hyssopstair_platform::protocol::PutRequest;
+use hyssopstair_platform::protocol::RangeRequest;
+use hyssopstair_platform::protocol::RangeResponse;
+use hyssopstair_platform::protocol::ResponseHeader;
+use hyssopstair_platform::protocol::TxnRequest;
+use hyssopstair_platform::protocol::TxnResponse;
+use hyssopstair_platform::protocol::decode_bytes;
+use hyssopstair_platform::protocol::encode_bytes;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Faults that the stand-in shows.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlatformFaults {
+    /// Every call is refused.
+    pub stopped: bool,
+    /// Time before each answer, in milliseconds.
+    pub delay_millis: u64,
+    /// Writes whose answer is lost although they take effect.
+    pub lost_answers: u32,
+}
+
+/// Calls that were served since the start.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct PlatformCounts {
+    /// Calls that read.
+    pub reads: u64,
+    /// Calls that write.
+    pub writes: u64,
+}
+
+#[derive(Debug)]
+struct StoredItem {
+    key: Vec<u8>,
+    value: Vec<u8>,
+    revision: u64,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    items: Vec<StoredItem>,
+    revision: u64,
+    faults: PlatformFaults,
+    counts: PlatformCounts,
+}
+
+/// The stand-in.
+#[derive(Debug, Clone, Default)]
+pub struct PlatformStore {
+    state: Arc<Mutex<StoreState>>,
+}
+
+impl PlatformStore {
+    /// Returns the HTTP service.
+    pub fn router(&self) -> Router {
+        Router::new()
+            .route("/v3/kv/range", post(range))
+            .route("/v3/kv/txn", post(transact))
+            .route("/faults", post(set_faults))
+            .route("/counts", axum::routing::get(counts))
+            .with_state(self.clone())
+    }
+
+    async fn delay(&self) -> Result<(), StatusCode> {
+        let faults = self.state.lock().faults;
+        tokio::time::sleep(Duration::from_millis(faults.delay_millis)).await;
+        if faults.stopped {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        Ok(())
+    }
+}
+
+impl StoreState {
+    fn header(&self) -> ResponseHeader {
+        ResponseHeader {
+            revision: self.revision.to_string(),
+        }
+    }
+
+    fn find(&self, key: &[u8]) -> Result<usize, usize> {
+        self.items
+            .binary_search_by(|item| item.key.as_slice().cmp(key))
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let revision = match self.find(&decode_bytes(&compare.key)) {
+            Ok(index) => self.items[index].revision,
+            Err(_) => 0,
+        };
+        compare.target == "MOD" && compare.mod_revision == revision.to_string()
+    }
+
+    fn put(&mut self, request: &PutRequest) {
+        let key = decode_bytes(&request.key);
+        let item = StoredItem {
+            value: decode_bytes(&request.value),
+            revision: self.revision,
+            key,
+        };
+        match self.find(&item.key) {
+            Ok(index) => self.items[index] = item,
+            Err(index) => self.items.insert(index, item),
+        }
+    }
+
+    fn lose_answer(&mut self) -> bool {
+        if self.faults.lost_answers == 0 {
+            return false;
+        }
+        self.faults.lost_answers -= 1;
+        true
+    }
+}
+
+async fn range(
+    State(store): State<PlatformStore>,
+    Json(request): Json<RangeRequest>,
+) -> Result<Json<RangeResponse>, StatusCode> {
+    store.delay().await?;
+    let mut state = store.state.lock();
+    state.counts.reads += 1;
+    let start = decode_bytes(&request.key);
+    let end = request.range_end.as_deref().map(decode_bytes);
+    let kvs = state
+        .items
+        .iter()
+        .filter(|item| match &end {
+            Some(end) => item.key >= start && item.key < *end,
+            None => item.key == start,
+        })
+        .map(|item| KeyValue {
+            key: encode_bytes(&item.key),
+            value: encode_bytes(&item.value),
+            mod_revision: item.revision.to_string(),
+            lease: String::new(),
+        })
+        .collect();
+    Ok(Json(RangeResponse {
+        header: state.header(),
+        kvs,
+    }))
+}
+
+async fn transact(
+    State(store): State<PlatformStore>,
+    Json(request): Json<TxnRequest>,
+) -> Result<Json<TxnResponse>, StatusCode> {
+    store.delay().await?;
+    let mut state = store.state.lock();
+    state.counts.writes += 1;
+    let succeeded = request.compare.iter().all(|compare| state.holds(compare));
+    let operations = if succeeded {
+        &request.success
+    } else {
+        &request.failure
+    };
+    if operations.iter().any(|item| item.request_put.is_some()) {
+        state.revision += 1;
+    }
+    for put in operations
+        .iter()
+        .filter_map(|item| item.request_put.as_ref())
+    {
+        state.put(put);
+    }
+    if succeeded && state.lose_answer() {
+        return Err(StatusCode::GATEWAY_TIMEOUT);
+    }
+    Ok(Json(TxnResponse {
+        header: state.header(),
+        succeeded,
+    }))
+}
+
+async fn set_faults(State(store): State<PlatformStore>, Json(faults): Json<PlatformFaults>) {
+    store.state.lock().faults = faults;
+}
+
+async fn counts(State(store): State<PlatformStore>) -> Json<PlatformCounts> {
+    Json(store.state.lock().counts)
+}
--- /dev/null
+++ b/crates/wire/src/token.rs
@@ -0,0 +1,192 @@
+//! Route tokens: QUIC connection IDs that name the host of a flow.
+//!
+//! A host issues them, and any balancer that holds the key can route a packet
+//! by its connection ID alone. The tag keeps a caller from making a token that
+//! sends packets to an address of its choice.
+//!
+//! Layout, 20 bytes, integers in network order: key number (1), service (2),
+//! IPv4 address (4), port (2), incarnation (4), nonce (3), tag (4).
+
+use std::hash::Hasher;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use siphasher::sip::SipHasher24;
+use siphasher::sip128::Hasher128;
+use siphasher::sip128::SipHasher24 as SipHasher128;
+
+use crate::address::HostIncarnation;
+use crate::address::ProcessId;
+use crate::address::ServiceId;
+
+/// Length of a route token in bytes, the longest that QUIC version 1 allows.
+pub const ROUTE_TOKEN_LENGTH: usize = 20;
+
+/// Length of a secret in bytes.
+pub const SECRET_LENGTH: usize = 16;
+
+const TAG_OFFSET: usize = 16;
+const NONCE_MASK: u32 = 0x00ff_ffff;
+
+/// The number of a key, as given in the rule file.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyNumber(pub u8);
+
+/// The secret that the operators give to every process, from which the secrets
+/// of numbered keys are derived. Its `Debug` form hides the bytes.
+#[derive(Clone)]
+pub struct FleetSecret([u8; SECRET_LENGTH]);
+
+impl std::fmt::Debug for FleetSecret {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("FleetSecret(..)")
+    }
+}
+
+impl FleetSecret {
+    /// Wraps the bytes of a secret.
+    pub const fn new(bytes: [u8; SECRET_LENGTH]) -> Self {
+        Self(bytes)
+    }
+
+    /// Derives a secret for the purpose that `label` names.
+    pub fn derive(&self, label: &[u8]) -> [u8; SECRET_LENGTH] {
+        let mut hasher = SipHasher128::new_with_key(&self.0);
+        hasher.write(label);
+        hasher.finish128().as_bytes()
+    }
+
+    /// Returns the route key with the given number.
+    pub fn route_key(&self, number: KeyNumber) -> RouteKey {
+        let label = [b'r', b'o', b'u', b't', b'e', number.0];
+        RouteKey {
+            number,
+            secret: self.derive(&label),
+        }
+    }
+}
+
+/// A key that seals and opens route tokens.
+#[derive(Clone)]
+pub struct RouteKey {
+    number: KeyNumber,
+    secret: [u8; SECRET_LENGTH],
+}
+
+impl std::fmt::Debug for RouteKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "RouteKey({})", self.number.0)
+    }
+}
+
+impl RouteKey {
+    fn tag(&self, body: &[u8]) -> [u8; ROUTE_TOKEN_LENGTH - TAG_OFFSET] {
+        let mut hasher = SipHasher24::new_with_key(&self.secret);
+        hasher.write(body);
+        ((hasher.finish() >> 32) as u32).to_be_bytes()
+    }
+}
+
+/// The keys that a process honours, sorted by number.
+#[derive(Debug, Clone, Default)]
+pub struct KeyRing {
+    keys: Vec<RouteKey>,
+}
+
+impl KeyRing {
+    /// Builds a ring of the numbered keys.
+    pub fn derive(secret: &FleetSecret, numbers: &[KeyNumber]) -> Self {
+        let mut numbers = numbers.to_vec();
+        numbers.sort_unstable();
+        numbers.dedup();
+        let keys = numbers
+            .iter()
+            .map(|number| secret.route_key(*number))
+            .collect();
+        Self { keys }
+    }
+
+    /// Returns the key with the given number.
+    pub fn find(&self, number: KeyNumber) -> Option<&RouteKey> {
+        let index = self
+            .keys
+            .binary_search_by_key(&number, |key| key.number)
+            .ok()?;
+        Some(&self.keys[index])
+    }
+
+    /// Returns whether the ring has no key.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+}
+
+/// Why a connection ID is not a route token of this fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum TokenError {
+    /// The connection ID has another length.
+    #[error("connection ID is not {ROUTE_TOKEN_LENGTH} bytes long")]
+    Length,
+    /// The key is not on the ring.
+    #[error("route key is unknown")]
+    UnknownKey,
+    /// The tag does not match.
+    #[error("route token has a wrong tag")]
+    WrongTag,
+}
+
+/// The route of a flow, as carried by its connection IDs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteToken {
+    /// The key that seals the token.
+    pub key: KeyNumber,
+    /// The service that the flow belongs to.
+    pub service: ServiceId,
+    /// The host that holds the flow.
+    pub host: ProcessId,
+    /// Tells the tokens of one host apart; 24 bits.
+    pub nonce: u32,
+}
+
+impl RouteToken {
+    /// Encodes the token and its tag.
+    pub fn seal(&self, key: &RouteKey) -> [u8; ROUTE_TOKEN_LENGTH] {
+        let mut bytes = [0; ROUTE_TOKEN_LENGTH];
+        bytes[0] = key.number.0;
+        bytes[1..3].copy_from_slice(&self.service.0.to_be_bytes());
+        bytes[3..7].copy_from_slice(&self.host.address.ip().octets());
+        bytes[7..9].copy_from_slice(&self.host.address.port().to_be_bytes());
+        bytes[9..13].copy_from_slice(&self.host.incarnation.0.to_be_bytes());
+        bytes[13..16].copy_from_slice(&(self.nonce & NONCE_MASK).to_be_bytes()[1..]);
+        let tag = key.tag(&bytes[..TAG_OFFSET]);
+        bytes[TAG_OFFSET..].copy_from_slice(&tag);
+        bytes
+    }
+
+    /// Decodes a connection ID and checks its tag.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`TokenError`] when the connection ID was not sealed by a key
+    /// of `ring`.
+    pub fn open(ring: &KeyRing, bytes: &[u8]) -> Result<Self, TokenError> {
+        let bytes: &[u8; ROUTE_TOKEN_LENGTH] = bytes.try_into().map_err(|_| TokenError::Length)?;
+        let number = KeyNumber(bytes[0]);
+        let key = ring.find(number).ok_or(TokenError::UnknownKey)?;
+        if key.tag(&bytes[..TAG_OFFSET]) != bytes[TAG_OFFSET..] {
+            return Err(TokenError::WrongTag);
+        }
+        let ip = Ipv4Addr::new(bytes[3], bytes[4], bytes[5], bytes[6]);
+        let port = u16::from_be_bytes([bytes[7], bytes[8]]);
+        let incarnation = u32::from_be_bytes([bytes[9], bytes[10], bytes[11], bytes[12]]);
+        Ok(Self {
+            key: number,
+            service: ServiceId(u16::from_be_bytes([bytes[1], bytes[2]])),
+            host: ProcessId {
+                address: SocketAddrV4::new(ip, port),
+                incarnation: HostIncarnation(incarnation),
+            },
+            nonce: u32::from_be_bytes([0, bytes[13], bytes[14], bytes[15]]),
+        })
+    }
+}
