--- /dev/null
+++ b/crates/hyssopstaird/tests/balancers.rs
@@ -0,0 +1,56 @@
+//! Open feeds and requests while balancers die, leave and join.
+
+mod support;
+
+use expect_test::expect;
+use hyssopstair_testkit::fleet::FleetPlan;
+use hyssopstair_testkit::fleet::TestFleet;
+use nix::sys::signal::Signal;
+
+use support::ended;
+use support::misdelivered;
+use support::open_feeds;
+use support::wait_for_lines;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_live_through_the_kill_of_each_balancer() {
+    let mut fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
+    let feeds = open_feeds(&fleet, "leerplein", 12).await;
+    for name in fleet.balancers() {
+        fleet.kill(&name).unwrap();
+        wait_for_lines(&fleet, &feeds, 5).await;
+        fleet.restart(&name).unwrap();
+        fleet.wait_until_settled().await.unwrap();
+        wait_for_lines(&fleet, &feeds, 2).await;
+    }
+    expect!["[]"].assert_eq(&format!("{:?}", ended(&feeds)));
+    assert_eq!(misdelivered(&fleet).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_live_with_one_balancer_left_and_packets_lost() {
+    let mut plan = FleetPlan::small();
+    plan.fabric = ["--loss", "0.02", "--duplicate", "0.02", "--reorder", "0.05"]
+        .map(str::to_owned)
+        .to_vec();
+    let mut fleet = TestFleet::start(plan).await.unwrap();
+    let feeds = open_feeds(&fleet, "leerplein", 8).await;
+    fleet.kill("balancer-1").unwrap();
+    fleet.kill("balancer-2").unwrap();
+    wait_for_lines(&fleet, &feeds, 10).await;
+    expect!["[]"].assert_eq(&format!("{:?}", ended(&feeds)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_balancer_that_is_told_to_stop_ends_by_itself_and_cuts_nothing() {
+    let mut fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
+    let feeds = open_feeds(&fleet, "leerplein", 8).await;
+    fleet.signal("balancer-2", Signal::SIGTERM).unwrap();
+    let success = fleet
+        .wait_for_exit("balancer-2", std::time::Duration::from_secs(10))
+        .await
+        .unwrap();
+    assert!(success);
+    wait_for_lines(&fleet, &feeds, 5).await;
+    expect!["[]"].assert_eq(&format!("{:?}", ended(&feeds)));
+}
--- /dev/null
+++ b/crates/testkit/src/fleet.rs
@@ -0,0 +1,694 @@
+//! A small fleet of real processes for tests: stand-ins, balancers and hosts,
+//! on loopback addresses of its own.
+//!
+//! Processes are named `platform`, `fabric`, `balancer-1`, `SERVICE-1` and
+//! `SERVICE-1-backend`, and can be killed, frozen and started again by name.
+//! All are killed when the fleet is dropped. The programs must have been built.
+
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+use serde_json::Value;
+use tempfile::TempDir;
+
+use crate::backend::BackendReport;
+
+/// Time between two looks at a condition.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Port for other processes of the system.
+const INNER_PORT: u16 = 7_000;
+/// Port for operators.
+const ADMIN_PORT: u16 = 7_100;
+/// Port for packets of the fabric.
+const ENTRY_PORT: u16 = 7_200;
+/// Port of backend servers.
+const BACKEND_PORT: u16 = 8_000;
+/// Port of services.
+const SERVICE_PORT: u16 = 4_433;
+/// Port that shows that a network is taken by a fleet.
+const GUARD_PORT: u16 = 9;
+
+/// One service of a fleet.
+#[derive(Debug, Clone)]
+pub struct ServicePlan {
+    /// The name.
+    pub name: &'static str,
+    /// How many hosts it has.
+    pub hosts: u8,
+    /// Requests that run at once on a host.
+    pub slots: u16,
+}
+
+/// What a fleet is made of.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    /// How many balancers run.
+    pub balancers: u8,
+    /// The services.
+    pub services: Vec<ServicePlan>,
+    /// Time that a request takes at a backend server, in milliseconds.
+    pub work_millis: u64,
+    /// More arguments of the fabric, such as `--loss 0.01`.
+    pub fabric: Vec<String>,
+    /// More lines of the settings of each daemon.
+    pub settings: String,
+}
+
+impl FleetPlan {
+    /// Returns a plan of two services with few hosts.
+    pub fn small() -> Self {
+        let service = |name, hosts| ServicePlan {
+            name,
+            hosts,
+            slots: 3,
+        };
+        Self {
+            balancers: 3,
+            services: vec![service("leerplein", 3), service("diplomakluis", 2)],
+            work_millis: 20,
+            fabric: Vec::new(),
+            settings: String::new(),
+        }
+    }
+}
+
+/// Why a fleet does not do what a test asks.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// A file or process could not be used.
+    #[error("failed to run the fleet: {0}")]
+    Io(#[from] std::io::Error),
+    /// A process has no such name.
+    #[error("no process is named {0}")]
+    UnknownName(String),
+    /// A condition did not come true in time.
+    #[error("{0} did not come true in time")]
+    Timeout(String),
+    /// A command of the operators failed.
+    #[error("command failed: {0}")]
+    Command(String),
+    /// A certificate could not be made.
+    #[error("failed to make a certificate: {0}")]
+    Certificate(#[from] rcgen::Error),
+    /// A signal could not be sent.
+    #[error("failed to send a signal: {0}")]
+    Signal(#[from] nix::Error),
+}
+
+#[derive(Debug)]
+struct FleetProcess {
+    name: String,
+    program: PathBuf,
+    arguments: Vec<String>,
+    child: Option<Child>,
+}
+
+/// A fleet at work.
+#[derive(Debug)]
+pub struct TestFleet {
+    plan: FleetPlan,
+    network: [u8; 2],
+    directory: TempDir,
+    processes: Vec<FleetProcess>,
+    /// Shows other tests that the network is taken.
+    _guard: TcpListener,
+}
+
+impl TestFleet {
+    /// Starts a fleet, puts its rules in force, and waits until every balancer
+    /// knows every host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process does not come up.
+    pub async fn start(plan: FleetPlan) -> Result<Self, FleetError> {
+        let (network, guard) = take_network()?;
+        let mut fleet = Self {
+            plan,
+            network,
+            directory: TempDir::new()?,
+            processes: Vec::new(),
+            _guard: guard,
+        };
+        fleet.write_keys()?;
+        fleet.start_processes()?;
+        fleet.wait_for_platform().await?;
+        let rules = fleet.rules();
+        fleet.apply(&rules).await?;
+        fleet.wait_until_settled().await?;
+        Ok(fleet)
+    }
+
+    /// Returns the address of the platform.
+    pub fn platform(&self) -> SocketAddrV4 {
+        self.address(2, 2_379)
+    }
+
+    /// Returns the certificate that callers trust.
+    pub fn certificate(&self) -> PathBuf {
+        self.path("certificate.pem")
+    }
+
+    /// Returns the address that callers of a service send to.
+    pub fn service_address(&self, name: &str) -> SocketAddrV4 {
+        let index = self.service_index(name) as u8;
+        self.address(10 + index, SERVICE_PORT)
+    }
+
+    /// Returns the admin address of a daemon.
+    pub fn admin(&self, name: &str) -> SocketAddrV4 {
+        SocketAddrV4::new(self.instance(name), ADMIN_PORT)
+    }
+
+    /// Returns the inner address of a daemon.
+    pub fn inner(&self, name: &str) -> SocketAddrV4 {
+        SocketAddrV4::new(self.instance(name), INNER_PORT)
+    }
+
+    /// Returns the address of the backend server beside a host.
+    pub fn backend(&self, host: &str) -> SocketAddrV4 {
+        SocketAddrV4::new(self.instance(host), BACKEND_PORT)
+    }
+
+    /// Returns the names of all balancers.
+    pub fn balancers(&self) -> Vec<String> {
+        (1..=self.plan.balancers)
+            .map(|number| format!("balancer-{number}"))
+            .collect()
+    }
+
+    /// Returns the names of all hosts.
+    pub fn hosts(&self) -> Vec<String> {
+        let services = self.plan.services.iter();
+        services
+            .flat_map(|service| {
+                (1..=service.hosts).map(|number| format!("{}-{number}", service.name))
+            })
+            .collect()
+    }
+
+    /// Returns the rule file that a fleet starts with.
+    pub fn rules(&self) -> String {
+        let mut text = String::from("zone utr-a id 1 # test: the only zone\n");
+        for (index, service) in self.plan.services.iter().enumerate() {
+            let name = service.name;
+            let slots = service.slots;
+            let address = self.service_address(name);
+            let id = index + 1;
+            text.push_str(&format!(
+                "service {name} id {id} address {address} # test\n"
+            ));
+            text.push_str(&format!(
+                "limit {name} slots {slots} connections 2000 queue 6 # test\n"
+            ));
+            text.push_str(&format!("deadline {name} 5000 # test\n"));
+            text.push_str(&format!("idempotent {name} GET / # test\n"));
+            text.push_str(&format!("stream {name} /feed/ # test\n"));
+        }
+        text.push_str("key 1 # test\n");
+        text
+    }
+
+    /// Puts a rule file in force on all daemons that run, by the operators'
+    /// command.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with what the command printed when it fails.
+    pub async fn apply(&self, rules: &str) -> Result<(), FleetError> {
+        let path = self.path("rules.txt");
+        fs::write(&path, rules)?;
+        let mut arguments = vec![
+            "apply".to_owned(),
+            "--platform".to_owned(),
+            format!("http://{}", self.platform()),
+        ];
+        for name in self.daemons() {
+            arguments.push("--confirm".to_owned());
+            arguments.push(self.admin(&name).to_string());
+        }
+        arguments.push(path.display().to_string());
+        self.command(&arguments).await.map(|_| ())
+    }
+
+    /// Runs the operators' command and returns what it printed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with what the command printed when it fails.
+    pub async fn command(&self, arguments: &[String]) -> Result<String, FleetError> {
+        let mut command = Command::new(program("hyssopstair"));
+        command.args(arguments);
+        let output = tokio::task::spawn_blocking(move || command.output())
+            .await
+            .map_err(|error| FleetError::Command(error.to_string()))??;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if output.status.success() {
+            return Ok(text);
+        }
+        let errors = String::from_utf8_lossy(&output.stderr);
+        Err(FleetError::Command(format!("{text}{errors}")))
+    }
+
+    /// Asks a daemon for its status; nothing when it does not answer.
+    pub async fn status(&self, name: &str) -> Option<Value> {
+        let url = format!("http://{}/status", self.admin(name));
+        fetch(&url).await
+    }
+
+    /// Asks the backend server beside a host what it has seen; nothing when it
+    /// does not answer.
+    pub async fn report(&self, host: &str) -> Option<BackendReport> {
+        let url = format!("http://{}/report", self.backend(host));
+        fetch(&url).await
+    }
+
+    /// Sends JSON to a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stand-in does not take it.
+    pub async fn post(
+        &self,
+        address: SocketAddrV4,
+        path: &str,
+        body: &Value,
+    ) -> Result<(), FleetError> {
+        let answer = reqwest::Client::new()
+            .post(format!("http://{address}{path}"))
+            .json(body)
+            .send()
+            .await
+            .and_then(reqwest::Response::error_for_status);
+        match answer {
+            Ok(_) => Ok(()),
+            Err(error) => Err(FleetError::Command(error.to_string())),
+        }
+    }
+
+    /// Sends a signal to a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such process.
+    pub fn signal(&self, name: &str, signal: Signal) -> Result<(), FleetError> {
+        let process = self.find(name)?;
+        let child = process
+            .child
+            .as_ref()
+            .ok_or_else(|| FleetError::UnknownName(name.to_owned()))?;
+        nix::sys::signal::kill(Pid::from_raw(child.id() as i32), signal)?;
+        Ok(())
+    }
+
+    /// Kills a process at once and waits until it is gone.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such process.
+    pub fn kill(&mut self, name: &str) -> Result<(), FleetError> {
+        let process = self.find_mut(name)?;
+        if let Some(mut child) = process.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a process that was told to stop has ended, and returns
+    /// whether it ended with success.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it does not end in time.
+    pub async fn wait_for_exit(&mut self, name: &str, limit: Duration) -> Result<bool, FleetError> {
+        let end = Instant::now() + limit;
+        loop {
+            let process = self.find_mut(name)?;
+            let Some(child) = process.child.as_mut() else {
+                return Ok(true);
+            };
+            if let Some(status) = child.try_wait()? {
+                process.child = None;
+                return Ok(status.success());
+            }
+            if Instant::now() > end {
+                return Err(FleetError::Timeout(format!("the end of {name}")));
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    /// Starts a process again that was killed or has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be started.
+    pub fn restart(&mut self, name: &str) -> Result<(), FleetError> {
+        let log = self.path(&format!("{name}.log"));
+        let process = self.find_mut(name)?;
+        process.child = Some(spawn(&process.program, &process.arguments, &log)?);
+        Ok(())
+    }
+
+    /// Starts another process of the fleet's network, under a new name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be started.
+    pub fn start_process(
+        &mut self,
+        name: &str,
+        program_name: &str,
+        arguments: Vec<String>,
+    ) -> Result<(), FleetError> {
+        let program = program(program_name);
+        let log = self.path(&format!("{name}.log"));
+        let child = Some(spawn(&program, &arguments, &log)?);
+        self.processes.push(FleetProcess {
+            name: name.to_owned(),
+            program,
+            arguments,
+            child,
+        });
+        Ok(())
+    }
+
+    /// Writes the settings of a host and returns their path. The host runs on
+    /// the instance of `place`, which may be another host's.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file cannot be written.
+    pub fn write_host_settings(
+        &self,
+        name: &str,
+        service: &str,
+        place: &str,
+    ) -> Result<PathBuf, FleetError> {
+        let instance = self.instance(place);
+        let role = format!(
+            "role:\n  host:\n    service: {service}\n    backend: {instance}:{BACKEND_PORT}\n    \
+             certificate: {}\n    private_key: {}\n",
+            self.certificate().display(),
+            self.path("private-key.pem").display()
+        );
+        self.write_settings(name, instance, &role)
+    }
+
+    /// Returns the log of a process so far.
+    pub fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.path(&format!("{name}.log"))).unwrap_or_default()
+    }
+
+    /// Waits until every balancer that runs knows every host that runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn wait_until_settled(&self) -> Result<(), FleetError> {
+        let expected = self
+            .hosts()
+            .iter()
+            .filter(|name| self.is_running(name))
+            .count();
+        for name in self.balancers() {
+            if !self.is_running(&name) {
+                continue;
+            }
+            self.wait_for(&format!("{name} knowing all hosts"), async || {
+                self.live_hosts(&name).await == Some(expected)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the number of hosts that a daemon counts as alive.
+    pub async fn live_hosts(&self, name: &str) -> Option<usize> {
+        let status = self.status(name).await?;
+        let members = status["members"].as_array()?.clone();
+        let live = members
+            .iter()
+            .filter(|member| member["state"] == "Alive" && member["role"]["Host"].is_object())
+            .filter(|member| member["role"]["Host"]["service"] != 0);
+        Some(live.count())
+    }
+
+    /// Waits until a condition is true, for at most 20 seconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the condition when it takes longer.
+    pub async fn wait_for(
+        &self,
+        name: &str,
+        mut condition: impl AsyncFnMut() -> bool,
+    ) -> Result<(), FleetError> {
+        const LIMIT: Duration = Duration::from_secs(20);
+        let end = Instant::now() + LIMIT;
+        while !condition().await {
+            if Instant::now() > end {
+                return Err(FleetError::Timeout(name.to_owned()));
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns whether a process runs.
+    pub fn is_running(&self, name: &str) -> bool {
+        self.find(name).is_ok_and(|process| process.child.is_some())
+    }
+
+    fn daemons(&self) -> Vec<String> {
+        let mut names = self.balancers();
+        names.extend(self.hosts());
+        names.retain(|name| self.is_running(name));
+        names
+    }
+
+    fn address(&self, last: u8, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(last), port)
+    }
+
+    fn ip(&self, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.network[0], self.network[1], last)
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.directory.path().join(name)
+    }
+
+    fn service_index(&self, name: &str) -> usize {
+        let found = self
+            .plan
+            .services
+            .iter()
+            .position(|service| service.name == name);
+        found.unwrap_or_else(|| panic!("no service is named {name}"))
+    }
+
+    /// Returns the instance that a daemon runs on.
+    fn instance(&self, name: &str) -> Ipv4Addr {
+        const FIRST_BALANCER: u8 = 20;
+        const FIRST_HOST: u8 = 40;
+        const HOSTS_PER_SERVICE: u8 = 20;
+        let (kind, number) = name.rsplit_once('-').unwrap_or((name, "0"));
+        let number: u8 = number.parse().unwrap_or(0);
+        if kind == "balancer" {
+            return self.ip(FIRST_BALANCER + number);
+        }
+        let service = self.service_index(kind) as u8;
+        self.ip(FIRST_HOST + HOSTS_PER_SERVICE * service + number)
+    }
+
+    fn find(&self, name: &str) -> Result<&FleetProcess, FleetError> {
+        self.processes
+            .iter()
+            .find(|process| process.name == name)
+            .ok_or_else(|| FleetError::UnknownName(name.to_owned()))
+    }
+
+    fn find_mut(&mut self, name: &str) -> Result<&mut FleetProcess, FleetError> {
+        self.processes
+            .iter_mut()
+            .find(|process| process.name == name)
+            .ok_or_else(|| FleetError::UnknownName(name.to_owned()))
+    }
+
+    fn write_keys(&self) -> Result<(), FleetError> {
+        let names: Vec<String> = self
+            .plan
+            .services
+            .iter()
+            .map(|service| service.name.to_owned())
+            .collect();
+        let certified = rcgen::generate_simple_self_signed(names)?;
+        fs::write(self.certificate(), certified.cert.pem())?;
+        fs::write(
+            self.path("private-key.pem"),
+            certified.signing_key.serialize_pem(),
+        )?;
+        fs::write(
+            self.path("secret.hex"),
+            "000102030405060708090a0b0c0d0e0f\n",
+        )?;
+        Ok(())
+    }
+
+    fn write_settings(
+        &self,
+        name: &str,
+        instance: Ipv4Addr,
+        role: &str,
+    ) -> Result<PathBuf, FleetError> {
+        let text = format!(
+            "inner: {instance}:{INNER_PORT}\nadmin: {instance}:{ADMIN_PORT}\nzone: utr-a\n\
+             platform: [\"http://{}\"]\nsecret:\n  file: {}\n{role}{}",
+            self.platform(),
+            self.path("secret.hex").display(),
+            self.plan.settings
+        );
+        let path = self.path(&format!("{name}.yaml"));
+        fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    fn start_processes(&mut self) -> Result<(), FleetError> {
+        let platform = self.platform().to_string();
+        self.start_process(
+            "platform",
+            "examples/platform",
+            vec!["--listen".to_owned(), platform],
+        )?;
+        let arguments = self.fabric_arguments();
+        self.start_process("fabric", "examples/fabric", arguments)?;
+        for name in self.balancers() {
+            self.start_balancer(&name)?;
+        }
+        for service in self.plan.services.clone() {
+            for number in 1..=service.hosts {
+                self.start_host(&service, number)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn fabric_arguments(&self) -> Vec<String> {
+        let mut arguments = vec!["--tunnel".to_owned(), self.address(1, 9_000).to_string()];
+        for service in &self.plan.services {
+            arguments.push("--service".to_owned());
+            arguments.push(self.service_address(service.name).to_string());
+        }
+        for name in self.balancers() {
+            let instance = self.instance(&name);
+            arguments.push("--balancer".to_owned());
+            arguments.push(format!("{instance}:{ENTRY_PORT},{instance}:{ADMIN_PORT}"));
+        }
+        arguments.extend(self.plan.fabric.iter().cloned());
+        arguments
+    }
+
+    fn start_balancer(&mut self, name: &str) -> Result<(), FleetError> {
+        let instance = self.instance(name);
+        let role = format!(
+            "role:\n  balancer:\n    entry: {instance}:{ENTRY_PORT}\n    fabric: {}\n",
+            self.address(1, 9_000)
+        );
+        let settings = self.write_settings(name, instance, &role)?;
+        self.start_process(name, "hyssopstaird", vec![settings.display().to_string()])
+    }
+
+    fn start_host(&mut self, service: &ServicePlan, number: u8) -> Result<(), FleetError> {
+        let name = format!("{}-{number}", service.name);
+        let settings = self.write_host_settings(&name, service.name, &name)?;
+        let backend = vec![
+            "--listen".to_owned(),
+            self.backend(&name).to_string(),
+            "--service".to_owned(),
+            service.name.to_owned(),
+            "--slots".to_owned(),
+            service.slots.to_string(),
+            "--work".to_owned(),
+            self.plan.work_millis.to_string(),
+        ];
+        self.start_process(&format!("{name}-backend"), "examples/backend", backend)?;
+        self.start_process(&name, "hyssopstaird", vec![settings.display().to_string()])
+    }
+
+    async fn wait_for_platform(&self) -> Result<(), FleetError> {
+        let url = format!("http://{}/counts", self.platform());
+        self.wait_for("the platform answering", async || {
+            fetch::<Value>(&url).await.is_some()
+        })
+        .await
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            if let Some(child) = process.child.as_mut() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+/// Takes a loopback network that no other fleet on the machine uses.
+fn take_network() -> Result<([u8; 2], TcpListener), FleetError> {
+    const FIRST: u32 = 16;
+    const COUNT: u32 = 200;
+    let start = std::process::id();
+    for step in 0..COUNT * COUNT {
+        let number = start.wrapping_mul(31).wrapping_add(step);
+        let network = [
+            (FIRST + (number / COUNT) % COUNT) as u8,
+            (FIRST + number % COUNT) as u8,
+        ];
+        let ip = Ipv4Addr::new(127, network[0], network[1], 254);
+        if let Ok(guard) = TcpListener::bind((ip, GUARD_PORT)) {
+            return Ok((network, guard));
+        }
+    }
+    Err(FleetError::Timeout("a free network".to_owned()))
+}
+
+/// Returns the path of a program that the workspace built, beside the test
+/// that runs.
+fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().unwrap_or_default();
+    let deps = test.parent().unwrap_or(Path::new("."));
+    deps.parent().unwrap_or(Path::new(".")).join(name)
+}
+
+fn spawn(program: &Path, arguments: &[String], log: &Path) -> Result<Child, FleetError> {
+    let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
+    let child = Command::new(program)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
+    Ok(child)
+}
+
+async fn fetch<T: serde::de::DeserializeOwned>(url: &str) -> Option<T> {
+    const LIMIT: Duration = Duration::from_secs(1);
+    let client = reqwest::Client::builder().timeout(LIMIT).build().ok()?;
+    client.get(url).send().await.ok()?.json().await.ok()
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod backend;
 pub mod fabric;
+pub mod fleet;
 pub mod platform;
