Test configuration and silence with whole processes; keep the peers' socket open

The socket that answers peers was dropped at the end of the function that opened it, so every peer's question met a closed port. It is now held for the life of the daemon.

--- a/crates/hyssopstaird/src/control/configuration.rs
+++ b/crates/hyssopstaird/src/control/configuration.rs
@@ -49,8 +49,12 @@
     let node = node.clone();
     tokio::spawn(async move {
         let request = PeerRequest::Configuration { above };
-        if let Ok(PeerAnswer::Configuration { version, text }) = peer::ask(from, request).await {
-            node.offer_config(version, &text);
+        match peer::ask(from, request).await {
+            Ok(PeerAnswer::Configuration { version, text }) => {
+                node.offer_config(version, &text);
+            }
+            Ok(PeerAnswer::UpToDate) => {}
+            Err(report) => log::warn!("config: {report:?}"),
         }
     });
 }
--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -84,7 +84,10 @@
             state: MemberState::Alive,
         };
         let config = ConfigState::default();
-        let roster = RosterState::new(entry, rand::random());
+        let mut roster = RosterState::new(entry, rand::random());
+        for address in &settings.contacts {
+            roster.add_contact(*address);
+        }
         let view = RoutingView::build(0, config.rules().clone(), &secret, &[]);
         Ok(Self {
             clock: ProcessClock::start(),
--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -39,7 +39,7 @@
         admin::bind(settings.admin).await?,
         node.clone(),
     ));
-    peer::serve(settings.inner, node.clone())?;
+    let _peers = peer::serve(settings.inner, node.clone())?;
     control::spawn_loops(&node, &settings.platform);
     match &settings.role {
         RoleSettings::Balancer(role) => {
--- a/crates/hyssopstaird/src/peer.rs
+++ b/crates/hyssopstaird/src/peer.rs
@@ -28,12 +28,12 @@
 /// Longest wait for a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Answers requests of peers until the process ends.
+/// Answers requests of peers until the socket that it returns is dropped.
 ///
 /// # Errors
 ///
 /// Returns an error when the address is in use.
-pub fn serve(address: SocketAddrV4, node: Arc<ControlNode>) -> Result<(), Report<DaemonError>> {
+pub fn serve(address: SocketAddrV4, node: Arc<ControlNode>) -> Result<Socket, Report<DaemonError>> {
     let context = || DaemonError::new(format!("failed to listen for peers on {address}"));
     let socket = Socket::new(Protocol::Rep0).change_context_lazy(context)?;
     let handle = Handle::current();
@@ -51,7 +51,7 @@
     socket
         .listen(&format!("tcp://{address}"))
         .change_context_lazy(context)?;
-    Ok(())
+    Ok(socket)
 }
 
 fn step(worker: &Context, aio: &Aio, result: AioResult, node: &Arc<ControlNode>, handle: &Handle) {
--- a/crates/rules/src/settings.rs
+++ b/crates/rules/src/settings.rs
@@ -25,6 +25,10 @@
     pub zone: String,
     /// URLs of the platform's key-value service.
     pub platform: Vec<String>,
+    /// Inner addresses of members that are asked first, for a start while the
+    /// platform does not answer.
+    #[serde(default)]
+    pub contacts: Vec<SocketAddrV4>,
     /// Where the secret of the fleet is.
     pub secret: SecretSource,
     /// URL of a collector of traces, for OTLP over HTTP.
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -228,6 +228,19 @@
     ///
     /// Returns an error with what the command printed when it fails.
     pub async fn apply(&self, rules: &str) -> Result<(), FleetError> {
+        self.apply_confirmed_by(rules, &self.daemons()).await
+    }
+
+    /// Puts a rule file in force and waits for the named daemons.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with what the command printed when it fails.
+    pub async fn apply_confirmed_by(
+        &self,
+        rules: &str,
+        daemons: &[String],
+    ) -> Result<(), FleetError> {
         let path = self.path("rules.txt");
         fs::write(&path, rules)?;
         let mut arguments = vec![
@@ -235,9 +248,9 @@
             "--platform".to_owned(),
             format!("http://{}", self.platform()),
         ];
-        for name in self.daemons() {
+        for name in daemons {
             arguments.push("--confirm".to_owned());
-            arguments.push(self.admin(&name).to_string());
+            arguments.push(self.admin(name).to_string());
         }
         arguments.push(path.display().to_string());
         self.command(&arguments).await.map(|_| ())
@@ -436,6 +449,26 @@
         Ok(())
     }
 
+    /// Returns the version of the configuration in force at a daemon.
+    pub async fn version(&self, name: &str) -> Option<u64> {
+        self.status(name).await?["version"].as_u64()
+    }
+
+    /// Waits until all daemons that run have a version or a higher one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn wait_for_version(&self, version: u64) -> Result<(), FleetError> {
+        for name in self.daemons() {
+            self.wait_for(&format!("version {version} at {name}"), async || {
+                self.version(&name).await >= Some(version)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Returns the number of hosts that a daemon counts as alive.
     pub async fn live_hosts(&self, name: &str) -> Option<usize> {
         let status = self.status(name).await?;
@@ -557,8 +590,9 @@
     ) -> Result<PathBuf, FleetError> {
         let text = format!(
             "inner: {instance}:{INNER_PORT}\nadmin: {instance}:{ADMIN_PORT}\nzone: utr-a\n\
-             platform: [\"http://{}\"]\nsecret:\n  file: {}\n{role}{}",
+             platform: [\"http://{}\"]\ncontacts: [{}]\nsecret:\n  file: {}\n{role}{}",
             self.platform(),
+            self.inner("balancer-1"),
             self.path("secret.hex").display(),
             self.plan.settings
         );
