Log structured fields, and limit warnings that repeat

Cause: logs were sentences alone; values stood inside the text, and an unreachable platform was reported at every try, twice a second from each of two loops of each daemon. Ruled out: a layout of our own (logforth has one for logfmt and one for JSON); sampling warnings by chance (the first one would get lost). Change: fields as key-values, logfmt or JSON by HYSSOPSTAIR_LOG_FORMAT, a RepeatLimiter with the time as an argument in the two loops that call the platform.

--- a/crates/hyssopstaird/src/control/configuration.rs
+++ b/crates/hyssopstaird/src/control/configuration.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use hyssopstair_platform::client::PlatformClient;
+use hyssopstair_platform::client::StoredValue;
 use hyssopstair_platform::record::CONFIGURATION_KEY;
 use hyssopstair_platform::record::ConfigurationRecord;
+use hyssopstair_telemetry::limiter::RepeatLimiter;
 use hyssopstair_wire::peer::PeerAnswer;
 use hyssopstair_wire::peer::PeerRequest;
 use rand::RngExt;
@@ -22,16 +24,22 @@
 
 /// Runs until the process ends.
 pub async fn run(node: Arc<ControlNode>, client: PlatformClient) {
+    let mut limiter = RepeatLimiter::default();
     loop {
         match client.get(CONFIGURATION_KEY).await {
-            Ok(Some(stored)) => match ConfigurationRecord::decode(&stored.value) {
-                Ok(record) => {
-                    node.offer_config(record.version, &record.text);
+            Ok(stored) => {
+                if let Some(unreported) = limiter.recover() {
+                    log::info!(unreported; "config: the platform answers again");
                 }
-                Err(error) => log::warn!("config: the platform holds no record: {error}"),
-            },
-            Ok(None) => {}
-            Err(error) => log::warn!("config: {error}"),
+                if let Some(stored) = stored {
+                    take_stored(&node, &stored);
+                }
+            }
+            Err(error) => {
+                if let Some(held_back) = limiter.warn(node.clock.now()) {
+                    log::warn!(error:% = error, held_back; "config: the platform is unreachable");
+                }
+            }
         }
         let members = node.members().len() as u32;
         let interval = (INTERVAL_PER_MEMBER * members).max(MIN_INTERVAL);
@@ -40,6 +48,15 @@
     }
 }
 
+fn take_stored(node: &ControlNode, stored: &StoredValue) {
+    match ConfigurationRecord::decode(&stored.value) {
+        Ok(record) => {
+            node.offer_config(record.version, &record.text);
+        }
+        Err(error) => log::warn!(error:% = error; "config: the platform holds no record"),
+    }
+}
+
 /// Fetches the configuration of a peer that said it has a newer one.
 pub fn hear_version(node: &Arc<ControlNode>, from: SocketAddrV4, version: u64) {
     let above = node.view().version;
--- a/crates/hyssopstaird/src/control/entries.rs
+++ b/crates/hyssopstaird/src/control/entries.rs
@@ -13,6 +13,7 @@
 use hyssopstair_platform::record::ENTRY_PREFIX;
 use hyssopstair_platform::record::ENTRY_SLOTS;
 use hyssopstair_platform::record::entry_key;
+use hyssopstair_telemetry::limiter::RepeatLimiter;
 use hyssopstair_wire::control::MemberState;
 use rand::RngExt;
 
@@ -26,9 +27,17 @@
 
 /// Runs until the process ends.
 pub async fn run(node: Arc<ControlNode>, client: PlatformClient) {
+    let mut limiter = RepeatLimiter::default();
     loop {
-        if let Err(error) = refresh(&node, &client).await {
-            log::warn!("entries: {error}");
+        match refresh(&node, &client).await {
+            Ok(()) => {
+                limiter.recover();
+            }
+            Err(error) => {
+                if let Some(held_back) = limiter.warn(node.clock.now()) {
+                    log::warn!(error:% = error, held_back; "entries: the platform is unreachable");
+                }
+            }
         }
         let members = node.members().len() as u32;
         let interval = (INTERVAL_PER_MEMBER * members).max(MIN_INTERVAL);
--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -6,6 +6,8 @@
 use error_stack::ResultExt;
 use hyssopstair_rules::settings::DaemonSettings;
 use hyssopstair_rules::settings::RoleSettings;
+use hyssopstair_telemetry::logs;
+use hyssopstair_telemetry::logs::LogFormat;
 use hyssopstair_wire::control::MemberState;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -24,7 +26,9 @@
 ///
 /// Returns an error when a part cannot start.
 pub fn run_daemon(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
-    hyssopstair_telemetry::logs::start();
+    let format =
+        LogFormat::from_environment().map_err(|text| Report::new(DaemonError::new(text)))?;
+    logs::start(format);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -34,7 +38,7 @@
 
 async fn run_parts(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
     let node = Arc::new(ControlNode::start(&settings).await?);
-    log::info!("daemon: started as {}", node.me());
+    log::info!(process:% = node.me(), zone = settings.zone.as_str(); "daemon: started");
     tokio::spawn(admin::serve(
         admin::bind(settings.admin).await?,
         node.clone(),
