Show metrics, and make spans for requests and balancers

Cause: a daemon told nothing of its packets, requests, control traffic or platform calls, and a request could not be followed across processes. Ruled out: counters of the metrics library on the path of a packet (each add looks up a label set under a lock), a flow table at the balancer to name the trace of a packet (a packet is encrypted, and balancers hold no flows). Change: plain atomics that observable instruments read; /metrics on the admin address in the text form of Prometheus; a span for a request, for the backend server call, and one for each balancer that returned packets of it. Not shown yet: the tree of spans across processes.

--- a/crates/hyssopstaird/src/admin.rs
+++ b/crates/hyssopstaird/src/admin.rs
@@ -7,9 +7,12 @@
 use axum::Router;
 use axum::extract::State;
 use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
+use axum::response::IntoResponse;
 use axum::routing::get;
 use error_stack::Report;
 use error_stack::ResultExt;
+use hyssopstair_telemetry::metrics::MetricsReader;
 use hyssopstair_wire::control::MemberEntry;
 use hyssopstair_wire::control::MemberState;
 use serde::Serialize;
@@ -18,6 +21,9 @@
 use crate::control::node::ControlNode;
 use crate::error::DaemonError;
 
+/// Media type of metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
 /// What a daemon reports about itself.
 #[derive(Debug, Serialize)]
 pub struct StatusReport {
@@ -41,13 +47,14 @@
 }
 
 /// Answers until the process ends.
-pub async fn serve(listener: TcpListener, node: Arc<ControlNode>) {
+pub async fn serve(listener: TcpListener, node: Arc<ControlNode>, metrics: Arc<MetricsReader>) {
     let router = Router::new()
         .route("/status", get(status))
         .route("/ready", get(ready))
-        .with_state(node);
+        .with_state(node)
+        .route("/metrics", get(show_metrics).with_state(metrics));
     if let Err(error) = axum::serve(listener, router).await {
-        log::error!("admin: {error}");
+        log::error!(error:% = error; "admin: stopped answering");
     }
 }
 
@@ -59,6 +66,16 @@
     })
 }
 
+async fn show_metrics(
+    State(reader): State<Arc<MetricsReader>>,
+) -> Result<impl IntoResponse, StatusCode> {
+    let text = reader.render().map_err(|error| {
+        log::warn!(error:? = error; "admin: metrics cannot be shown");
+        StatusCode::INTERNAL_SERVER_ERROR
+    })?;
+    Ok(([(CONTENT_TYPE, METRICS_TYPE)], text))
+}
+
 /// Ready means: there is a configuration, and the process is not leaving.
 async fn ready(State(node): State<Arc<ControlNode>>) -> StatusCode {
     let me = node.me();
--- a/crates/hyssopstaird/src/balancer/mod.rs
+++ b/crates/hyssopstaird/src/balancer/mod.rs
@@ -10,6 +10,8 @@
 use hyssopstair_routing::balancer::route_packet;
 use hyssopstair_routing::reset::reset_packet;
 use hyssopstair_rules::settings::BalancerSettings;
+use hyssopstair_telemetry::counts::COUNTS;
+use hyssopstair_telemetry::relays::note_returned;
 use hyssopstair_wire::entry::EntryPath;
 use hyssopstair_wire::entry::encode_entry;
 use hyssopstair_wire::entry::split_entry;
@@ -24,6 +26,7 @@
 use crate::control::gossip;
 use crate::control::node::ControlNode;
 use crate::error::DaemonError;
+use crate::telemetry;
 
 /// Tasks that read each socket.
 const READERS: usize = 2;
@@ -96,6 +99,7 @@
     let view = paths.node.view();
     match route_packet(&view, paths.node.me().address, path, datagram) {
         RouteAction::Forward { host, header } => {
+            telemetry::count_forwarded(&header);
             if let Ok(packet) = encode_packet(PacketKind::Forward, &header, datagram) {
                 let _ = paths.node.socket.send_to(&packet, host.address).await;
             }
@@ -107,13 +111,14 @@
                     source: path.destination,
                     destination: path.source,
                 };
+                COUNTS.resets_sent.increment();
                 let _ = paths
                     .entry
                     .send_to(&encode_entry(&back, &packet), paths.fabric)
                     .await;
             }
         }
-        RouteAction::Drop(_) => {}
+        RouteAction::Drop(reason) => telemetry::count_dropped(reason),
     }
 }
 
@@ -135,6 +140,8 @@
     let Ok((header, datagram)) = split_message::<ReturnHeader>(rest) else {
         return;
     };
+    COUNTS.packets_returned.increment();
+    note_returned(header.trace, paths.node.clock.now());
     let path = EntryPath {
         source: header.target,
         destination: header.caller,
--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -15,6 +15,7 @@
 use hyssopstair_routing::view::RoutingView;
 use hyssopstair_rules::settings::DaemonSettings;
 use hyssopstair_rules::settings::RoleSettings;
+use hyssopstair_telemetry::counts::COUNTS;
 use hyssopstair_wire::address::HostIncarnation;
 use hyssopstair_wire::address::ProcessId;
 use hyssopstair_wire::address::ServiceId;
@@ -128,7 +129,7 @@
     pub fn offer_config(&self, version: u64, text: &str) -> bool {
         let taken = lock(&self.config).offer(version, text);
         if taken {
-            log::info!("config: version {version} is in force");
+            log::info!(version; "config: a new version is in force");
             self.announce_role();
             self.rebuild_view();
         }
@@ -207,6 +208,7 @@
                 log::warn!("gossip: a message is too long");
                 continue;
             };
+            COUNTS.control_sent.add(packet.len() as u64);
             // A lost message is repaired by later rounds.
             let _ = self.socket.send_to(&packet, to).await;
         }
--- a/crates/hyssopstaird/src/host/ingress.rs
+++ b/crates/hyssopstaird/src/host/ingress.rs
@@ -5,6 +5,7 @@
 use hyssopstair_routing::host::HostAction;
 use hyssopstair_routing::host::HostGate;
 use hyssopstair_routing::reset::reset_packet;
+use hyssopstair_telemetry::counts::COUNTS;
 use hyssopstair_wire::packet::ForwardHeader;
 use hyssopstair_wire::packet::MAX_PACKET_LENGTH;
 use hyssopstair_wire::packet::PacketKind;
@@ -17,6 +18,7 @@
 use crate::control::gossip;
 use crate::control::node::lock;
 use crate::host::state::HostState;
+use crate::telemetry;
 
 /// Tasks that read the inner socket.
 const READERS: usize = 2;
@@ -61,6 +63,7 @@
             state.queue.push(header.caller, datagram.to_vec());
         }
         HostAction::PassOn { host, header } => {
+            COUNTS.packets_passed_on.increment();
             if let Ok(packet) = encode_packet(PacketKind::Forward, &header, datagram) {
                 let _ = state.node.socket.send_to(&packet, host.address).await;
             }
@@ -68,7 +71,7 @@
         HostAction::Reset { connection } => {
             send_reset(state, &header, connection, datagram.len()).await;
         }
-        HostAction::Drop(reason) => log::debug!("ingress: dropped a packet: {reason:?}"),
+        HostAction::Drop(reason) => telemetry::count_dropped(reason),
     }
 }
 
@@ -82,6 +85,7 @@
     let Some(reset) = reset_packet(&key, connection, trigger_length, rand::random()) else {
         return;
     };
+    COUNTS.resets_sent.increment();
     let back = ReturnHeader {
         service: header.service,
         caller: header.caller,
--- a/crates/hyssopstaird/src/host/proxy.rs
+++ b/crates/hyssopstaird/src/host/proxy.rs
@@ -19,6 +19,10 @@
 use hyper_util::rt::TokioIo;
 use hyssopstair_requests::verdict::RequestVerdict;
 use hyssopstair_requests::verdict::VERDICT_HEADER;
+use hyssopstair_telemetry::requests::BACKEND_SPAN;
+use hyssopstair_telemetry::requests::hop;
+use hyssopstair_telemetry::requests::inject;
+use hyssopstair_telemetry::requests::note_verdict;
 use tokio::net::TcpStream;
 
 use crate::control::node::lock;
@@ -68,10 +72,10 @@
         refuse(stream, StatusCode::SERVICE_UNAVAILABLE).await;
         return;
     };
-    match send_to_backend(connection, request, body).await {
+    match hop(BACKEND_SPAN, send_to_backend(connection, request, body)).await {
         Ok(response) => give_answer(response, stream).await,
         Err(error) => {
-            log::warn!("proxy: the backend server gave no answer: {error}");
+            log::warn!(error:% = error; "proxy: the backend server gave no answer");
             let response = verdict_response(StatusCode::BAD_GATEWAY, RequestVerdict::MayHaveRun);
             finish(stream, response).await;
         }
@@ -98,6 +102,7 @@
     if let Ok(value) = host.parse() {
         outgoing.headers_mut().insert(header::HOST, value);
     }
+    inject(outgoing.headers_mut());
     sender.send_request(outgoing).await
 }
 
@@ -105,6 +110,7 @@
     response: Response<Incoming>,
     stream: &mut RequestStream<S, Bytes>,
 ) {
+    note_verdict(RequestVerdict::Done.header_value());
     let (mut parts, mut body) = response.into_parts();
     parts.headers.remove(header::CONNECTION);
     parts.headers.remove(header::TRANSFER_ENCODING);
@@ -154,6 +160,7 @@
 }
 
 fn verdict_response(status: StatusCode, verdict: RequestVerdict) -> Response<()> {
+    note_verdict(verdict.header_value());
     let mut response = Response::new(());
     *response.status_mut() = status;
     let headers = response.headers_mut();
--- a/crates/hyssopstaird/src/host/server.rs
+++ b/crates/hyssopstaird/src/host/server.rs
@@ -9,6 +9,8 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use hyssopstair_rules::settings::HostSettings;
+use hyssopstair_telemetry::counts::COUNTS;
+use hyssopstair_telemetry::requests::RequestScope;
 use quinn::EndpointConfig;
 use quinn::IdleTimeout;
 use quinn::ServerConfig;
@@ -25,6 +27,7 @@
 use crate::host::proxy;
 use crate::host::socket::FlowSocket;
 use crate::host::state::HostState;
+use crate::telemetry::TracedRequest;
 
 /// A flow that is silent for this long is gone.
 const IDLE_TIMEOUT_MILLIS: u32 = 30_000;
@@ -59,7 +62,7 @@
             if flows == 0 {
                 break;
             }
-            log::info!("host: leaving, waiting for {flows} flows");
+            log::info!(flows; "host: leaving, waiting for flows");
             tokio::time::sleep(DRAIN_LOOK).await;
         }
         self.endpoint.wait_idle().await;
@@ -140,6 +143,8 @@
                 return;
             };
             state.open_flow();
+            COUNTS.flows_opened.increment();
+            let _open = COUNTS.flows_open.enter();
             serve_flow(connection, &state).await;
             state.close_flow();
         });
@@ -147,6 +152,7 @@
 }
 
 async fn serve_flow(connection: quinn::Connection, state: &Arc<HostState>) {
+    let caller = connection.remote_address();
     let connection = h3_quinn::Connection::new(connection);
     let server = h3::server::Connection::<_, Bytes>::new(connection).await;
     let Ok(mut server) = server else {
@@ -156,7 +162,12 @@
         let state = state.clone();
         tokio::spawn(async move {
             if let Ok((request, stream)) = resolver.resolve_request().await {
-                proxy::serve_request(&state, request, stream).await;
+                let scope = RequestScope::begin(&request);
+                let traced = TracedRequest::begin(&state, caller, &scope);
+                scope
+                    .run(proxy::serve_request(&state, request, stream))
+                    .await;
+                traced.end();
             }
         });
     }
--- a/crates/hyssopstaird/src/host/socket.rs
+++ b/crates/hyssopstaird/src/host/socket.rs
@@ -16,6 +16,7 @@
 use std::task::Poll;
 use std::task::Waker;
 
+use hyssopstair_telemetry::callers::CALLERS;
 use hyssopstair_wire::entry::ipv4;
 use hyssopstair_wire::packet::PacketKind;
 use hyssopstair_wire::packet::ReturnHeader;
@@ -109,7 +110,7 @@
             caller,
             target: route.target,
             version: self.state.node.view().version,
-            trace: None,
+            trace: CALLERS.find(caller, now),
         };
         let Ok(packet) = encode_packet(PacketKind::Return, &header, transmit.contents) else {
             return Ok(());
--- a/crates/hyssopstaird/src/lib.rs
+++ b/crates/hyssopstaird/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ops;
 pub mod peer;
 pub mod secret;
+pub mod telemetry;
 
 use std::process::ExitCode;
 
--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -19,6 +19,7 @@
 use crate::error::DaemonError;
 use crate::host;
 use crate::peer;
+use crate::telemetry::DaemonTelemetry;
 
 /// Runs a daemon until it is told to stop.
 ///
@@ -39,9 +40,11 @@
 async fn run_parts(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
     let node = Arc::new(ControlNode::start(&settings).await?);
     log::info!(process:% = node.me(), zone = settings.zone.as_str(); "daemon: started");
+    let telemetry = DaemonTelemetry::start(&settings, &node)?;
     tokio::spawn(admin::serve(
         admin::bind(settings.admin).await?,
         node.clone(),
+        telemetry.metrics.clone(),
     ));
     peer::serve(settings.inner, node.clone())?;
     control::spawn_loops(&node, &settings.platform);
@@ -61,6 +64,7 @@
     }
     node.declare(MemberState::Gone).await;
     log::info!("daemon: stopped");
+    telemetry.stop(&node).await;
     Ok(())
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hyssopstair_telemetry::counts::COUNTS;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -145,6 +146,7 @@
             match self.call_one(url, path, request).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
+                    COUNTS.platform_errors.increment();
                     last = PlatformError::NoAnswer {
                         url: url.clone(),
                         reason: error.to_string(),
@@ -161,6 +163,7 @@
         path: &str,
         request: &Q,
     ) -> Result<A, reqwest::Error> {
+        COUNTS.platform_calls.increment();
         self.http
             .post(format!("{url}{path}"))
             .json(request)
--- /dev/null
+++ b/crates/telemetry/examples/cost.rs
@@ -0,0 +1,77 @@
+//! Measures what telemetry costs per event: a count, a label, a look for a
+//! trace, a request, and one reading of all metrics.
+
+use std::hint::black_box;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyssopstair_telemetry::callers::CallerTraces;
+use hyssopstair_telemetry::counts::COUNTS;
+use hyssopstair_telemetry::metrics::GaugeReading;
+use hyssopstair_telemetry::metrics::MetricsReader;
+use hyssopstair_telemetry::metrics::count_request;
+use hyssopstair_telemetry::traces::ProcessNames;
+use hyssopstair_wire::packet::TraceContext;
+use hyssopstair_wire::time::MonotonicTime;
+
+/// Events of each measurement.
+const EVENTS: u32 = 2_000_000;
+
+fn main() {
+    let names = ProcessNames {
+        role: "balancer",
+        instance: "cost",
+        zone: "cost",
+    };
+    let reader = MetricsReader::start(names.resource(), Arc::new(GaugeReading::default))
+        .expect("metrics start");
+    for threads in [1, 2, 4, 8] {
+        let name = format!("one count, {threads} threads");
+        measure(&name, threads, || COUNTS.packets_forwarded.increment());
+    }
+    measure("one drop by reason", 1, || {
+        COUNTS.packets_dropped.increment(black_box("no_host"));
+    });
+    measure_traces();
+    measure("one request", 1, || {
+        count_request("done", "GET", black_box(Duration::from_millis(3)));
+    });
+    let start = Instant::now();
+    let text = reader.render().expect("metrics are written");
+    println!("one reading: {:?}, {} bytes", start.elapsed(), text.len());
+}
+
+fn measure_traces() {
+    let caller = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+    let now = MonotonicTime::default();
+    let traces = CallerTraces::default();
+    measure("look for a trace, none sampled", 1, || {
+        black_box(traces.find(black_box(caller), now));
+    });
+    let trace = TraceContext {
+        trace: [1; 16],
+        span: [1; 8],
+    };
+    for port in 1..=1_000 {
+        traces.begin(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), trace, now);
+    }
+    measure("look for a trace, 1000 sampled", 1, || {
+        black_box(traces.find(black_box(caller), now));
+    });
+}
+
+/// Prints the time that one event takes on each of `threads` threads.
+fn measure(name: &str, threads: usize, event: impl Fn() + Sync) {
+    let start = Instant::now();
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| (0..EVENTS).for_each(|_| event()));
+        }
+    });
+    let nanos = start.elapsed().as_nanos() as f64 / f64::from(EVENTS);
+    println!("{name}: {nanos:.1} ns");
+}
--- /dev/null
+++ b/crates/telemetry/src/requests.rs
@@ -0,0 +1,147 @@
+//! The spans and the metrics of a request at a host.
+
+use std::future::Future;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use hyssopstair_wire::packet::TraceContext;
+use opentelemetry::Context;
+use opentelemetry::KeyValue;
+use opentelemetry::context::FutureExt;
+use opentelemetry::global;
+use opentelemetry::propagation::TextMapPropagator;
+use opentelemetry::trace::SpanBuilder;
+use opentelemetry::trace::SpanKind;
+use opentelemetry::trace::TraceContextExt;
+use opentelemetry::trace::Tracer;
+use opentelemetry_http::HeaderExtractor;
+use opentelemetry_http::HeaderInjector;
+
+use crate::counts::COUNTS;
+use crate::metrics::count_request;
+use crate::traces::SCOPE;
+use crate::traces::propagator;
+
+/// Name of the span of a request at a host.
+pub const REQUEST_SPAN: &str = "request";
+
+/// Name of the span of the wait for the backend server.
+pub const ADMISSION_SPAN: &str = "admission wait";
+
+/// Name of the span of a request that is sent to another host.
+pub const PEER_SPAN: &str = "peer relay";
+
+/// Name of the span of the call to the backend server.
+pub const BACKEND_SPAN: &str = "backend server call";
+
+/// The verdict of a request whose caller went away before there was one.
+const NO_VERDICT: &str = "abandoned";
+
+/// A request that is served.
+#[derive(Debug)]
+pub struct RequestScope {
+    context: Context,
+    method: &'static str,
+    begun: Instant,
+}
+
+/// The verdict of the request that a context belongs to.
+#[derive(Debug)]
+struct VerdictCell(Mutex<&'static str>);
+
+impl RequestScope {
+    /// Begins a request; it belongs to the trace that its headers name.
+    pub fn begin(request: &Request<()>) -> Self {
+        let parent = propagator().extract(&HeaderExtractor(request.headers()));
+        let method = method_name(request.method());
+        let builder = SpanBuilder::from_name(REQUEST_SPAN)
+            .with_kind(SpanKind::Server)
+            .with_attributes([KeyValue::new("http.request.method", method)]);
+        let span = global::tracer(SCOPE).build_with_context(builder, &parent);
+        let context = parent
+            .with_span(span)
+            .with_value(VerdictCell(Mutex::new(NO_VERDICT)));
+        Self {
+            context,
+            method,
+            begun: Instant::now(),
+        }
+    }
+
+    /// Returns where in its trace the request is, when it is sampled.
+    pub fn trace(&self) -> Option<TraceContext> {
+        let span = self.context.span();
+        let context = span.span_context();
+        (context.is_valid() && context.is_sampled()).then(|| TraceContext {
+            trace: context.trace_id().to_bytes(),
+            span: context.span_id().to_bytes(),
+        })
+    }
+
+    /// Serves the request by `future` and counts how it ends.
+    pub async fn run<F: Future>(self, future: F) -> F::Output {
+        let _open = COUNTS.requests_open.enter();
+        let output = future.with_context(self.context.clone()).await;
+        let verdict = read_verdict(&self.context);
+        count_request(verdict, self.method, self.begun.elapsed());
+        let span = self.context.span();
+        span.set_attribute(KeyValue::new("hyssopstair.verdict", verdict));
+        span.end();
+        output
+    }
+}
+
+/// Notes the verdict that the caller of the present request is given.
+pub fn note_verdict(verdict: &'static str) {
+    Context::map_current(|context| {
+        if let Some(VerdictCell(cell)) = context.get::<VerdictCell>() {
+            *cell.lock().unwrap_or_else(PoisonError::into_inner) = verdict;
+        }
+    });
+}
+
+/// Runs a step of the present request, with a span of its own.
+pub async fn hop<F: Future>(name: &'static str, future: F) -> F::Output {
+    let sampled = Context::map_current(|context| context.span().span_context().is_sampled());
+    if !sampled {
+        return future.await;
+    }
+    let builder = SpanBuilder::from_name(name).with_kind(SpanKind::Client);
+    let span = global::tracer(SCOPE).build(builder);
+    future.with_context(Context::current_with_span(span)).await
+}
+
+/// Waits until the present request may run.
+pub async fn wait_for_admission<F: Future>(future: F) -> F::Output {
+    let _queued = COUNTS.requests_queued.enter();
+    hop(ADMISSION_SPAN, future).await
+}
+
+/// Puts the present span into the headers of a request that is sent on; the
+/// caller's own header stays when the request is not sampled.
+pub fn inject(headers: &mut HeaderMap) {
+    let context = Context::current();
+    if context.span().span_context().is_sampled() {
+        propagator().inject_context(&context, &mut HeaderInjector(headers));
+    }
+}
+
+fn read_verdict(context: &Context) -> &'static str {
+    match context.get::<VerdictCell>() {
+        Some(VerdictCell(cell)) => *cell.lock().unwrap_or_else(PoisonError::into_inner),
+        None => NO_VERDICT,
+    }
+}
+
+/// Returns the method as OpenTelemetry has it: a label takes only known values.
+fn method_name(method: &Method) -> &'static str {
+    const KNOWN: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+    match KNOWN.binary_search(&method.as_str()) {
+        Ok(index) => KNOWN[index],
+        Err(_) => "_OTHER",
+    }
+}
--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,78 @@
+//! Metrics in the text form of Prometheus.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use expect_test::expect;
+use hyssopstair_telemetry::counts::COUNTS;
+use hyssopstair_telemetry::metrics::GaugeReading;
+use hyssopstair_telemetry::metrics::MemberCount;
+use hyssopstair_telemetry::metrics::MetricsReader;
+use hyssopstair_telemetry::metrics::count_request;
+use hyssopstair_telemetry::traces::ProcessNames;
+
+fn reading() -> GaugeReading {
+    let members = vec![MemberCount {
+        role: "host",
+        state: "alive",
+        count: 10,
+    }];
+    GaugeReading {
+        members,
+        config_version: 7,
+    }
+}
+
+/// The lines that do not depend on the machine, without the scope's label.
+fn stable_lines(text: &str) -> String {
+    text.lines()
+        .filter(|line| !line.starts_with('#') && !line.starts_with("process_"))
+        .filter(|line| !line.contains("_bucket{") || line.contains("0.025"))
+        .map(|line| line.replace("otel_scope_name=\"hyssopstair\"", ""))
+        .map(|line| line.replace(",}", "}").replace(",,", ",").replace("{}", ""))
+        .collect::<Vec<_>>()
+        .join("\n")
+}
+
+#[test]
+fn counters_have_names_and_units_by_convention() {
+    let names = ProcessNames {
+        role: "balancer",
+        instance: "127.0.0.1:7000",
+        zone: "utr-a",
+    };
+    let reader = MetricsReader::start(names.resource(), Arc::new(reading)).unwrap();
+    COUNTS.packets_forwarded.add(3);
+    COUNTS.packets_dropped.increment("no_host");
+    COUNTS.packets_dropped.increment("malformed");
+    COUNTS.packets_dropped.increment("no_host");
+    COUNTS.control_sent.add(120);
+    let _open = COUNTS.flows_open.enter();
+    drop(COUNTS.flows_open.enter());
+    count_request("done", "POST", Duration::from_millis(20));
+    let text = reader.render().unwrap();
+    expect![[r#"
+        hyssopstair_configuration_version 7
+        hyssopstair_control_received_bytes_total 0
+        hyssopstair_control_sent_bytes_total 120
+        hyssopstair_flows_open 1
+        hyssopstair_flows_opened_total 0
+        hyssopstair_packets_dropped_total{reason="malformed"} 1
+        hyssopstair_packets_dropped_total{reason="no_host"} 2
+        hyssopstair_packets_forwarded_total 3
+        hyssopstair_packets_opening_total 0
+        hyssopstair_packets_passed_on_total 0
+        hyssopstair_packets_returned_total 0
+        hyssopstair_platform_calls_total 0
+        hyssopstair_platform_errors_total 0
+        hyssopstair_request_duration_seconds_bucket{http_request_method="POST",hyssopstair_verdict="done",le="0.025"} 1
+        hyssopstair_request_duration_seconds_sum{http_request_method="POST",hyssopstair_verdict="done"} 0.02
+        hyssopstair_request_duration_seconds_count{http_request_method="POST",hyssopstair_verdict="done"} 1
+        hyssopstair_requests_open 0
+        hyssopstair_requests_queued 0
+        hyssopstair_requests_relayed_total 0
+        hyssopstair_resets_total 0
+        hyssopstair_roster_members{role="host",state="alive"} 10
+        hyssopstair_spans_lost_total 0
+        target_info{cloud_availability_zone="utr-a",hyssopstair_role="balancer",service_instance_id="127.0.0.1:7000",service_name="hyssopstaird"} 1"#]].assert_eq(&stable_lines(&text));
+}
