Build the daemon against the new admission decisions

Change: the proxy takes a free slot or refuses, through the new interface.

Before: hyssopstaird does not build. After: format, lints and ./test pass.

--- a/crates/hyssopstaird/src/host/proxy.rs
+++ b/crates/hyssopstaird/src/host/proxy.rs
@@ -17,8 +17,16 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
+use hyssopstair_requests::admission::AdmissionRules;
+use hyssopstair_requests::admission::RequestClass;
+use hyssopstair_requests::admission::RequestKey;
+use hyssopstair_requests::admission::SlotDecision;
+use hyssopstair_requests::admission::SlotEnd;
+use hyssopstair_requests::admission::SlotRequest;
 use hyssopstair_requests::verdict::RequestVerdict;
 use hyssopstair_requests::verdict::VERDICT_HEADER;
+use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_wire::time::MonotonicTime;
 use tokio::net::TcpStream;
 
 use crate::control::node::lock;
@@ -47,17 +55,37 @@
         return;
     };
     let is_stream = service.is_stream(request.uri().path());
-    let slots = u32::from(service.slots);
-    if !is_stream && !lock(&state.admission).try_admit(slots) {
+    let start = state.node.clock.now();
+    let rules = AdmissionRules {
+        slots: u32::from(service.slots),
+        queue: 0,
+    };
+    if !is_stream && !has_slot(state, &service, &rules, start) {
         refuse(&mut stream, StatusCode::SERVICE_UNAVAILABLE).await;
         return;
     }
     run(state, &request, body, &mut stream).await;
     if !is_stream {
-        lock(&state.admission).release();
+        let now = state.node.clock.now();
+        let end = SlotEnd::Completed(now.since(start));
+        lock(&state.admission).release(end, &rules, now);
     }
 }
 
+fn has_slot(
+    state: &HostState,
+    service: &ServiceRule,
+    rules: &AdmissionRules,
+    now: MonotonicTime,
+) -> bool {
+    let request = SlotRequest {
+        key: RequestKey(0),
+        class: RequestClass::Once,
+        deadline: now + Duration::from_millis(u64::from(service.deadline_millis)),
+    };
+    lock(&state.admission).arrive_relayed(request, rules, now) == SlotDecision::Run
+}
+
 async fn run<S: BidiStream<Bytes>>(
     state: &HostState,
     request: &Request<()>,
