Run requests that are not idempotent once, under tickets, and queue and relay them

Cause: the hosts kept nothing about requests: a copy ran again, a body that broke off was run as if it were whole, and an answer without a known end looked complete.

Change: a request that is not idempotent needs a ticket (status 428 brings one, and hyssopstair-tickets asks for more). The issuer claims it, waits for a copy that runs, keeps the outcome and settles it for other hosts. Slots are waited for in the queue, refused requests are tried at one other host under a budget. Deadlines go to the backend server. Leaving hosts send GOAWAY. The load tool uses tickets, and counts doubled runs by a request name of its own.

--- a/crates/hyssopstair/src/ops/load/caller.rs
+++ b/crates/hyssopstair/src/ops/load/caller.rs
@@ -152,6 +152,7 @@
             .method(method)
             .uri(format!("https://{}{path}", self.service))
             .header("idempotency-key", key)
+            .header("hyssopstair-tickets", "1")
             .body(())
             .map_err(|error| CallerError(error.to_string()))?;
         let mut sender = self.sender.clone();
--- a/crates/hyssopstair/src/ops/load/report.rs
+++ b/crates/hyssopstair/src/ops/load/report.rs
@@ -129,7 +129,6 @@
 #[derive(Debug, Deserialize)]
 struct RunRecord {
     request: String,
-    key: String,
 }
 
 /// What a backend server has seen.
@@ -275,8 +274,8 @@
     let mut keys: Vec<&str> = backends
         .iter()
         .flat_map(|backend| &backend.runs)
-        .filter(|run| run.request.starts_with("POST") && !run.key.is_empty())
-        .map(|run| run.key.as_str())
+        .filter(|run| run.request.starts_with("POST"))
+        .map(|run| run.request.as_str())
         .collect();
     keys.sort_unstable();
     keys.windows(2).filter(|pair| pair[0] == pair[1]).count() as u64
--- /dev/null
+++ b/crates/hyssopstaird/src/host/answer.rs
@@ -0,0 +1,200 @@
+//! Answers callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use h3::error::Code;
+use h3::quic::BidiStream;
+use h3::server::RequestStream;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyssopstair_requests::verdict::RequestVerdict;
+use hyssopstair_requests::verdict::VERDICT_HEADER;
+use hyssopstair_wire::peer::HeaderField;
+use hyssopstair_wire::peer::WholeReply;
+
+use crate::host::backend::BackendAnswer;
+
+/// Response header that carries a fresh ticket.
+const TICKET_HEADER: &str = "hyssopstair-ticket";
+
+/// An answer that the host gives by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// What is known of the request.
+    pub verdict: RequestVerdict,
+    /// One sentence for people.
+    pub text: &'static str,
+}
+
+impl HostAnswer {
+    /// The request did not run; the caller may come back.
+    pub fn not_run(retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            verdict: RequestVerdict::NotRun { retry_after },
+            text: "the request was not run; come back later",
+        }
+    }
+
+    /// The request is wrong and did not run.
+    pub fn wrong(status: StatusCode, text: &'static str) -> Self {
+        let verdict = RequestVerdict::NotRun {
+            retry_after: Duration::ZERO,
+        };
+        Self {
+            status,
+            verdict,
+            text,
+        }
+    }
+
+    /// Nobody knows whether the request ran.
+    pub fn may_have_run(status: StatusCode, text: &'static str) -> Self {
+        Self {
+            status,
+            verdict: RequestVerdict::MayHaveRun,
+            text,
+        }
+    }
+
+    /// The request ran; its answer is not kept.
+    pub fn done_without_reply() -> Self {
+        Self {
+            status: StatusCode::CONFLICT,
+            verdict: RequestVerdict::Done,
+            text: "the request ran before; its answer is not kept",
+        }
+    }
+}
+
+/// The stream of one request, and the tickets that go with its answer.
+pub struct AnswerWriter<'a, S: BidiStream<Bytes>> {
+    stream: &'a mut RequestStream<S, Bytes>,
+    tickets: Vec<String>,
+}
+
+impl<'a, S: BidiStream<Bytes>> AnswerWriter<'a, S> {
+    /// Wraps a stream.
+    pub fn new(stream: &'a mut RequestStream<S, Bytes>, tickets: Vec<String>) -> Self {
+        Self { stream, tickets }
+    }
+
+    /// Gives an answer of the host.
+    pub async fn give(self, answer: HostAnswer) {
+        let body = format!("{}: {}\n", answer.verdict.header_value(), answer.text);
+        let mut response = Response::new(());
+        *response.status_mut() = answer.status;
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_LENGTH, body.len().into());
+        if let RequestVerdict::NotRun { retry_after } = answer.verdict {
+            headers.insert(header::RETRY_AFTER, whole_seconds(retry_after).into());
+        }
+        self.send_whole(response, answer.verdict, body.into()).await;
+    }
+
+    /// Gives a whole answer of the backend server.
+    pub async fn give_reply(self, reply: WholeReply) {
+        let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let response = response_head(status, &reply.headers);
+        let verdict = reply_verdict(status);
+        self.send_whole(response, verdict, reply.body.into()).await;
+    }
+
+    /// Gives an answer of the backend server as it comes, and returns whether
+    /// all of it came.
+    pub async fn give_live(mut self, mut answer: Box<BackendAnswer>) -> bool {
+        let mut response = response_head(answer.head.status, &answer.header_fields());
+        self.add_headers(&mut response, reply_verdict(answer.head.status));
+        if self.stream.send_response(response).await.is_err() {
+            return false;
+        }
+        let has_certain_end = answer.has_certain_end();
+        let start = std::mem::take(&mut answer.start);
+        if !start.is_empty() && self.stream.send_data(start.into()).await.is_err() {
+            return false;
+        }
+        while let Some(frame) = answer.body.frame().await {
+            let Ok(frame) = frame else {
+                self.cut();
+                return false;
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if self.stream.send_data(data).await.is_err() {
+                return false;
+            }
+        }
+        if !has_certain_end {
+            self.cut();
+            return false;
+        }
+        if let Some(slot) = answer.slot {
+            slot.complete();
+        }
+        let _ = self.stream.finish().await;
+        true
+    }
+
+    /// Resets the stream, because the answer is not whole and must not look so.
+    fn cut(&mut self) {
+        self.stream.stop_stream(Code::H3_INTERNAL_ERROR);
+    }
+
+    async fn send_whole(self, mut response: Response<()>, verdict: RequestVerdict, body: Bytes) {
+        self.add_headers(&mut response, verdict);
+        if self.stream.send_response(response).await.is_err() {
+            return;
+        }
+        if !body.is_empty() && self.stream.send_data(body).await.is_err() {
+            return;
+        }
+        let _ = self.stream.finish().await;
+    }
+
+    fn add_headers(&self, response: &mut Response<()>, verdict: RequestVerdict) {
+        let headers = response.headers_mut();
+        let value = HeaderValue::from_static(verdict.header_value());
+        headers.insert(VERDICT_HEADER, value);
+        for ticket in &self.tickets {
+            if let Ok(value) = HeaderValue::from_str(ticket) {
+                headers.append(TICKET_HEADER, value);
+            }
+        }
+    }
+}
+
+/// A gateway status of the backend server leaves it open what happened behind
+/// it; any other answer is the answer.
+fn reply_verdict(status: StatusCode) -> RequestVerdict {
+    match status {
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT => {
+            RequestVerdict::MayHaveRun
+        }
+        _ => RequestVerdict::Done,
+    }
+}
+
+fn response_head(status: StatusCode, fields: &[HeaderField]) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+fn whole_seconds(time: Duration) -> u64 {
+    time.as_millis().div_ceil(1_000) as u64
+}
--- a/crates/hyssopstaird/src/host/proxy.rs
+++ b/crates/hyssopstaird/src/host/proxy.rs
@@ -1,205 +1,371 @@
-//! Carries one request to the backend server and its answer back.
+//! Serves the requests of callers.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Buf;
 use bytes::Bytes;
-use bytes::BytesMut;
-use h3::error::Code;
 use h3::quic::BidiStream;
 use h3::server::RequestStream;
 use http::Request;
-use http::Response;
 use http::StatusCode;
-use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper_util::rt::TokioIo;
-use hyssopstair_requests::admission::AdmissionRules;
 use hyssopstair_requests::admission::RequestClass;
-use hyssopstair_requests::admission::RequestKey;
-use hyssopstair_requests::admission::SlotDecision;
-use hyssopstair_requests::admission::SlotEnd;
-use hyssopstair_requests::admission::SlotRequest;
+use hyssopstair_requests::ledger::RunOutcome;
 use hyssopstair_requests::verdict::RequestVerdict;
-use hyssopstair_requests::verdict::VERDICT_HEADER;
 use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_wire::peer::WholeReply;
+use hyssopstair_wire::peer::encode_reply;
 use hyssopstair_wire::time::MonotonicTime;
-use tokio::net::TcpStream;
 
 use crate::control::node::lock;
+use crate::host::answer::AnswerWriter;
+use crate::host::answer::HostAnswer;
+use crate::host::backend;
+use crate::host::backend::BackendAnswer;
+use crate::host::backend::BackendEnd;
+use crate::host::backend::CollectedAnswer;
+use crate::host::relay;
+use crate::host::relay::RelayEnd;
+use crate::host::request;
+use crate::host::request::BodyError;
+use crate::host::request::CallerRequest;
+use crate::host::slots;
 use crate::host::state::HostState;
+use crate::host::tickets;
+use crate::host::tickets::TicketClaim;
+use crate::host::tickets::TicketResult;
 
-/// Longest request body in bytes.
-const MAX_BODY: usize = 1 << 20;
-
-/// When a refused caller may ask again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// What a caller is answered.
+enum ServedEnd {
+    /// An answer of the backend server, as it comes.
+    Live(Box<BackendAnswer>),
+    /// A whole answer of a backend server.
+    Reply(WholeReply),
+    /// An answer of the host.
+    Own(HostAnswer),
+    /// As before, with one fresh ticket at least.
+    NeedsTicket,
+    /// Nothing: the caller is gone.
+    Nobody,
+}
 
 /// Serves one request of a caller.
-pub async fn serve_request<S>(
+pub async fn serve_request<S: BidiStream<Bytes>>(
     state: &Arc<HostState>,
-    request: Request<()>,
+    head: Request<()>,
     mut stream: RequestStream<S, Bytes>,
-) where
-    S: BidiStream<Bytes>,
-{
-    let Some(body) = read_body(&mut stream).await else {
-        refuse(&mut stream, StatusCode::PAYLOAD_TOO_LARGE).await;
-        return;
-    };
+    flow: &quinn::Connection,
+) {
     let Some(service) = state.service() else {
-        refuse(&mut stream, StatusCode::SERVICE_UNAVAILABLE).await;
+        let answer = HostAnswer::not_run(Duration::from_secs(1));
+        AnswerWriter::new(&mut stream, Vec::new())
+            .give(answer)
+            .await;
         return;
     };
-    let is_stream = service.is_stream(request.uri().path());
-    let start = state.node.clock.now();
-    let rules = AdmissionRules {
-        slots: u32::from(service.slots),
-        queue: 0,
-    };
-    if !is_stream && !has_slot(state, &service, &rules, start) {
-        refuse(&mut stream, StatusCode::SERVICE_UNAVAILABLE).await;
+    if service.is_stream(head.uri().path()) {
+        serve_stream(state, &head, &mut stream, flow).await;
         return;
     }
-    run(state, &request, body, &mut stream).await;
-    if !is_stream {
-        let now = state.node.clock.now();
-        let end = SlotEnd::Completed(now.since(start));
-        lock(&state.admission).release(end, &rules, now);
+    let now = state.node.clock.now();
+    let patience = request::patience(head.headers(), &service);
+    let reading = request::read_body(head.headers(), &mut stream);
+    let body = match tokio::time::timeout(patience, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::Cancelled)) => return,
+        Ok(Err(error)) => {
+            refuse_body(&mut stream, error).await;
+            return;
+        }
+        Err(_) => {
+            let answer = HostAnswer::wrong(StatusCode::REQUEST_TIMEOUT, "the request is not whole");
+            AnswerWriter::new(&mut stream, Vec::new())
+                .give(answer)
+                .await;
+            return;
+        }
+    };
+    let request = CallerRequest::new(&head, &body, &service, now);
+    match request.class {
+        RequestClass::Idempotent => {
+            // A flow that ends cancels the request: the connection to the
+            // backend server closes and the slot is free again.
+            tokio::select! {
+                () = serve_idempotent(state, &service, &request, &mut stream) => {}
+                _ = flow.closed() => {}
+            }
+        }
+        RequestClass::Once => {
+            let end = serve_once(state, &service, &request, flow).await;
+            give(state, &request, end, &mut stream).await;
+        }
     }
 }
 
-fn has_slot(
-    state: &HostState,
-    service: &ServiceRule,
-    rules: &AdmissionRules,
-    now: MonotonicTime,
-) -> bool {
-    let request = SlotRequest {
-        key: RequestKey(0),
-        class: RequestClass::Once,
-        deadline: now + Duration::from_millis(u64::from(service.deadline_millis)),
+async fn refuse_body<S: BidiStream<Bytes>>(stream: &mut RequestStream<S, Bytes>, error: BodyError) {
+    let answer = match error {
+        BodyError::TooLong => {
+            HostAnswer::wrong(StatusCode::PAYLOAD_TOO_LARGE, "the request is too long")
+        }
+        BodyError::WrongLength | BodyError::Cancelled => HostAnswer::wrong(
+            StatusCode::BAD_REQUEST,
+            "the request is not as long as it was announced",
+        ),
     };
-    lock(&state.admission).arrive_relayed(request, rules, now) == SlotDecision::Run
+    AnswerWriter::new(stream, Vec::new()).give(answer).await;
 }
 
-async fn run<S: BidiStream<Bytes>>(
-    state: &HostState,
-    request: &Request<()>,
-    body: Bytes,
+/// Serves an answer that lasts for hours: it takes no slot and has no deadline.
+async fn serve_stream<S: BidiStream<Bytes>>(
+    state: &Arc<HostState>,
+    head: &Request<()>,
     stream: &mut RequestStream<S, Bytes>,
+    flow: &quinn::Connection,
 ) {
-    let Ok(connection) = TcpStream::connect(state.backend).await else {
-        refuse(stream, StatusCode::SERVICE_UNAVAILABLE).await;
+    if state.is_draining() {
+        let answer = HostAnswer::not_run(Duration::ZERO);
+        AnswerWriter::new(stream, Vec::new()).give(answer).await;
         return;
+    }
+    let call = request::backend_call(head, &[]);
+    let serving = async {
+        let end = backend::run(state, &call, None, None, None).await;
+        let writer = AnswerWriter::new(stream, Vec::new());
+        match end {
+            BackendEnd::Answer(answer) => {
+                writer.give_live(answer).await;
+            }
+            end => writer.give(own_answer(&end)).await,
+        }
     };
-    match send_to_backend(connection, request, body).await {
-        Ok(response) => give_answer(response, stream).await,
-        Err(error) => {
-            log::warn!("proxy: the backend server gave no answer: {error}");
-            let response = verdict_response(StatusCode::BAD_GATEWAY, RequestVerdict::MayHaveRun);
-            finish(stream, response).await;
+    tokio::select! {
+        () = serving => {}
+        _ = flow.closed() => {}
+    }
+}
+
+async fn give<S: BidiStream<Bytes>>(
+    state: &HostState,
+    request: &CallerRequest,
+    end: ServedEnd,
+    stream: &mut RequestStream<S, Bytes>,
+) {
+    let wanted = wanted_tickets(state, request, &end);
+    let writer = AnswerWriter::new(stream, tickets::issue(state, wanted));
+    match end {
+        ServedEnd::Live(answer) => {
+            writer.give_live(answer).await;
+        }
+        ServedEnd::Reply(reply) => writer.give_reply(reply).await,
+        ServedEnd::Own(answer) => writer.give(answer).await,
+        ServedEnd::NeedsTicket if wanted == 0 => {
+            writer.give(HostAnswer::not_run(Duration::ZERO)).await;
         }
+        ServedEnd::NeedsTicket => {
+            let status = StatusCode::PRECONDITION_REQUIRED;
+            let text = "the request needs the ticket that comes with this answer";
+            writer.give(HostAnswer::wrong(status, text)).await;
+        }
+        ServedEnd::Nobody => {}
     }
 }
 
-async fn send_to_backend(
-    connection: TcpStream,
-    request: &Request<()>,
-    body: Bytes,
-) -> Result<Response<Incoming>, hyper::Error> {
-    let (mut sender, driver) =
-        hyper::client::conn::http1::handshake(TokioIo::new(connection)).await?;
-    tokio::spawn(driver);
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
-    let mut outgoing = Request::new(Full::new(body));
-    *outgoing.method_mut() = request.method().clone();
-    *outgoing.uri_mut() = path.parse().unwrap_or_default();
-    *outgoing.headers_mut() = request.headers().clone();
-    let host = request.uri().host().unwrap_or("backend");
-    if let Ok(value) = host.parse() {
-        outgoing.headers_mut().insert(header::HOST, value);
+/// Returns the number of tickets that go with an answer. A refusal has made the
+/// ticket of its request void, so that the caller needs another.
+fn wanted_tickets(state: &HostState, request: &CallerRequest, end: &ServedEnd) -> usize {
+    if state.is_draining() {
+        return 0;
     }
-    sender.send_request(outgoing).await
+    let is_void = match end {
+        ServedEnd::NeedsTicket => true,
+        ServedEnd::Own(answer) => {
+            let is_not_run = matches!(answer.verdict, RequestVerdict::NotRun { .. });
+            is_not_run && request.class == RequestClass::Once
+        }
+        ServedEnd::Live(_) | ServedEnd::Reply(_) | ServedEnd::Nobody => false,
+    };
+    request.tickets.max(usize::from(is_void))
 }
 
-async fn give_answer<S: BidiStream<Bytes>>(
-    response: Response<Incoming>,
+async fn serve_idempotent<S: BidiStream<Bytes>>(
+    state: &Arc<HostState>,
+    service: &ServiceRule,
+    request: &CallerRequest,
     stream: &mut RequestStream<S, Bytes>,
 ) {
-    let (mut parts, mut body) = response.into_parts();
-    parts.headers.remove(header::CONNECTION);
-    parts.headers.remove(header::TRANSFER_ENCODING);
-    parts.headers.insert(
-        VERDICT_HEADER,
-        http::HeaderValue::from_static(RequestVerdict::Done.header_value()),
-    );
-    if stream
-        .send_response(Response::from_parts(parts, ()))
-        .await
-        .is_err()
-    {
-        return;
+    let end = match run_here(state, service, request, None).await {
+        BackendEnd::Answer(answer) => {
+            lock(&state.budget).earn();
+            ServedEnd::Live(answer)
+        }
+        end => match relay::try_elsewhere(state, service, request, None).await {
+            RelayEnd::Reply(reply) => ServedEnd::Reply(reply),
+            RelayEnd::NotRun | RelayEnd::MayHaveRun => ServedEnd::Own(own_answer(&end)),
+        },
+    };
+    let patience = remaining(state, request.deadline);
+    let giving = give(state, request, end, stream);
+    // An answer that is not whole at the deadline is broken off.
+    let _ = tokio::time::timeout(patience.max(MIN_ANSWER_TIME), giving).await;
+}
+
+/// Time to send an answer that came at the deadline.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(100);
+
+async fn serve_once(
+    state: &Arc<HostState>,
+    service: &ServiceRule,
+    request: &CallerRequest,
+    flow: &quinn::Connection,
+) -> ServedEnd {
+    let mut claim = match tickets::claim(state, request).await {
+        TicketResult::Claimed(claim) => claim,
+        result => return ticket_answer(result),
+    };
+    let waiting = slots::take_slot(state, service, request.class, request.deadline);
+    // Until the hand-over a flow that ends cancels the request. Afterwards the
+    // request runs to its end, and its outcome is kept for the next copy.
+    let slot = if state.is_draining() {
+        Err(Duration::ZERO)
+    } else {
+        tokio::select! {
+            slot = waiting => slot,
+            _ = flow.closed() => return ServedEnd::Nobody,
+        }
+    };
+    let end = match slot {
+        Ok(slot) => {
+            let deadline = Some(request.deadline);
+            backend::run(state, &request.call, Some(slot), deadline, Some(&mut claim)).await
+        }
+        Err(retry_after) => BackendEnd::NotRun { retry_after },
+    };
+    match end {
+        BackendEnd::Answer(answer) => {
+            lock(&state.budget).earn();
+            keep_answer(state, request, claim, answer).await
+        }
+        BackendEnd::NotRun { retry_after } => {
+            claim.take_back();
+            once_elsewhere(state, service, request, claim, retry_after).await
+        }
+        end => {
+            claim.finish(RunOutcome::MayHaveRun);
+            ServedEnd::Own(own_answer(&end))
+        }
     }
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            // The answer is not whole, and must not look so.
-            stream.stop_stream(Code::H3_INTERNAL_ERROR);
-            return;
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if stream.send_data(data).await.is_err() {
-            return;
+}
+
+async fn once_elsewhere(
+    state: &HostState,
+    service: &ServiceRule,
+    request: &CallerRequest,
+    mut claim: TicketClaim,
+    retry_after: Duration,
+) -> ServedEnd {
+    match relay::try_elsewhere(state, service, request, Some(&mut claim)).await {
+        RelayEnd::Reply(reply) => {
+            claim.finish(stored(&reply));
+            ServedEnd::Reply(reply)
+        }
+        RelayEnd::NotRun => {
+            claim.finish(RunOutcome::NotRun);
+            ServedEnd::Own(HostAnswer::not_run(retry_after))
+        }
+        RelayEnd::MayHaveRun => {
+            claim.finish(RunOutcome::MayHaveRun);
+            ServedEnd::Own(own_answer(&BackendEnd::MayHaveRun))
         }
     }
-    let _ = stream.finish().await;
 }
 
-async fn read_body<S: BidiStream<Bytes>>(stream: &mut RequestStream<S, Bytes>) -> Option<Bytes> {
-    let mut body = BytesMut::new();
-    while let Ok(Some(mut chunk)) = stream.recv_data().await {
-        body.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
-        if body.len() > MAX_BODY {
-            return None;
+/// Reads the answer to its end before the caller sees any of it, so that its
+/// outcome is known even if the caller is gone.
+async fn keep_answer(
+    state: &HostState,
+    request: &CallerRequest,
+    claim: TicketClaim,
+    answer: Box<BackendAnswer>,
+) -> ServedEnd {
+    let patience = remaining(state, request.deadline);
+    match tokio::time::timeout(patience, answer.collect()).await {
+        Ok(CollectedAnswer::Whole(reply)) => {
+            claim.finish(stored(&reply));
+            ServedEnd::Reply(reply)
+        }
+        Ok(CollectedAnswer::Long(answer)) => {
+            claim.finish(RunOutcome::Done(None));
+            ServedEnd::Live(answer)
+        }
+        Ok(CollectedAnswer::Cut) => {
+            claim.finish(RunOutcome::MayHaveRun);
+            ServedEnd::Own(own_answer(&BackendEnd::MayHaveRun))
+        }
+        Err(_) => {
+            claim.finish(RunOutcome::MayHaveRun);
+            ServedEnd::Own(own_answer(&BackendEnd::TimedOut))
         }
     }
-    Some(body.freeze())
 }
 
-async fn refuse<S: BidiStream<Bytes>>(stream: &mut RequestStream<S, Bytes>, status: StatusCode) {
-    let verdict = RequestVerdict::NotRun {
-        retry_after: RETRY_AFTER,
-    };
-    finish(stream, verdict_response(status, verdict)).await;
+fn stored(reply: &WholeReply) -> RunOutcome {
+    RunOutcome::Done(Some(encode_reply(reply).into()))
+}
+
+/// Runs a request here, if there is a slot in time.
+async fn run_here(
+    state: &Arc<HostState>,
+    service: &ServiceRule,
+    request: &CallerRequest,
+    claim: Option<&mut TicketClaim>,
+) -> BackendEnd {
+    if state.is_draining() {
+        return BackendEnd::NotRun {
+            retry_after: Duration::ZERO,
+        };
+    }
+    let deadline = request.deadline;
+    match slots::take_slot(state, service, request.class, deadline).await {
+        Ok(slot) => backend::run(state, &request.call, Some(slot), Some(deadline), claim).await,
+        Err(retry_after) => BackendEnd::NotRun { retry_after },
+    }
 }
 
-fn verdict_response(status: StatusCode, verdict: RequestVerdict) -> Response<()> {
-    let mut response = Response::new(());
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(
-        VERDICT_HEADER,
-        http::HeaderValue::from_static(verdict.header_value()),
-    );
-    if let RequestVerdict::NotRun { retry_after } = verdict {
-        headers.insert(header::RETRY_AFTER, retry_after.as_secs().into());
+fn remaining(state: &HostState, deadline: MonotonicTime) -> Duration {
+    deadline.since(state.node.clock.now())
+}
+
+fn ticket_answer(result: TicketResult) -> ServedEnd {
+    match result {
+        TicketResult::Reply(reply) => ServedEnd::Reply(reply),
+        TicketResult::NeedsTicket => ServedEnd::NeedsTicket,
+        TicketResult::DoneWithoutReply => ServedEnd::Own(HostAnswer::done_without_reply()),
+        TicketResult::MayHaveRun | TicketResult::Claimed(_) => {
+            ServedEnd::Own(HostAnswer::may_have_run(
+                StatusCode::GATEWAY_TIMEOUT,
+                "the host that issued the ticket does not know or does not answer",
+            ))
+        }
+        TicketResult::StillRunning => ServedEnd::Own(HostAnswer::may_have_run(
+            StatusCode::CONFLICT,
+            "another copy of the request is still running",
+        )),
+        TicketResult::OtherRequest => ServedEnd::Own(HostAnswer::wrong(
+            StatusCode::CONFLICT,
+            "the ticket was used for another request",
+        )),
     }
-    response
 }
 
-async fn finish<S: BidiStream<Bytes>>(
-    stream: &mut RequestStream<S, Bytes>,
-    response: Response<()>,
-) {
-    if stream.send_response(response).await.is_ok() {
-        let _ = stream.finish().await;
+fn own_answer(end: &BackendEnd) -> HostAnswer {
+    match end {
+        BackendEnd::NotRun { retry_after } => HostAnswer::not_run(*retry_after),
+        BackendEnd::Answer(_) | BackendEnd::MayHaveRun => HostAnswer::may_have_run(
+            StatusCode::BAD_GATEWAY,
+            "the backend server broke off; the request may have run",
+        ),
+        BackendEnd::TimedOut => HostAnswer::may_have_run(
+            StatusCode::GATEWAY_TIMEOUT,
+            "no answer came in time; the request may have run",
+        ),
     }
 }
--- a/crates/hyssopstaird/src/host/server.rs
+++ b/crates/hyssopstaird/src/host/server.rs
@@ -19,6 +19,7 @@
 use rustls::pki_types::PrivateKeyDer;
 use rustls::pki_types::pem::PemObject;
 
+use crate::control::node::lock;
 use crate::error::DaemonError;
 use crate::host::connection::ResetKey;
 use crate::host::connection::TokenIssuer;
@@ -56,10 +57,11 @@
         self.state.start_draining();
         loop {
             let flows = self.state.flows();
-            if flows == 0 {
+            let requests = lock(&self.state.tickets).unfinished();
+            if flows == 0 && requests == 0 {
                 break;
             }
-            log::info!("host: leaving, waiting for {flows} flows");
+            log::info!("host: leaving, waiting for {flows} flows and {requests} requests");
             tokio::time::sleep(DRAIN_LOOK).await;
         }
         self.endpoint.wait_idle().await;
@@ -147,17 +149,57 @@
 }
 
 async fn serve_flow(connection: quinn::Connection, state: &Arc<HostState>) {
-    let connection = h3_quinn::Connection::new(connection);
-    let server = h3::server::Connection::<_, Bytes>::new(connection).await;
+    let wrapped = h3_quinn::Connection::new(connection.clone());
+    let server = h3::server::Connection::<_, Bytes>::new(wrapped).await;
     let Ok(mut server) = server else {
         return;
     };
-    while let Ok(Some(resolver)) = server.accept().await {
-        let state = state.clone();
-        tokio::spawn(async move {
-            if let Ok((request, stream)) = resolver.resolve_request().await {
-                proxy::serve_request(&state, request, stream).await;
+    let tasks = TaskCount::default();
+    let mut look = tokio::time::interval(DRAIN_LOOK);
+    let mut is_leaving = false;
+    loop {
+        tokio::select! {
+            accepted = server.accept() => {
+                let Ok(Some(resolver)) = accepted else {
+                    return;
+                };
+                let state = state.clone();
+                let connection = connection.clone();
+                let task = tasks.start();
+                tokio::spawn(async move {
+                    if let Ok((request, stream)) = resolver.resolve_request().await {
+                        proxy::serve_request(&state, request, stream, &connection).await;
+                    }
+                    drop(task);
+                });
             }
-        });
+            _ = look.tick() => {
+                if is_leaving && tasks.is_zero() {
+                    return;
+                }
+                if !is_leaving && state.is_draining() {
+                    is_leaving = true;
+                    if server.shutdown(0).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Counts the requests of one flow that are served.
+#[derive(Debug, Default)]
+struct TaskCount {
+    shared: Arc<()>,
+}
+
+impl TaskCount {
+    fn start(&self) -> Arc<()> {
+        self.shared.clone()
+    }
+
+    fn is_zero(&self) -> bool {
+        Arc::strong_count(&self.shared) == 1
     }
 }
--- /dev/null
+++ b/crates/hyssopstaird/src/host/settle.rs
@@ -0,0 +1,80 @@
+//! Tickets that another host has issued.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyssopstair_requests::ledger::SettleDecision;
+use hyssopstair_requests::ticket::RequestFingerprint;
+use hyssopstair_requests::ticket::RequestTicket;
+use hyssopstair_wire::peer::PeerAnswer;
+use hyssopstair_wire::peer::PeerRequest;
+use hyssopstair_wire::peer::SettleAnswer;
+use hyssopstair_wire::peer::SettleRequest;
+use hyssopstair_wire::peer::decode_reply;
+
+use crate::control::node::lock;
+use crate::host::state::HostState;
+use crate::host::tickets::TicketResult;
+
+/// Longest wait for the issuer of a ticket.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks the issuer of a ticket what became of it. An issuer that is gone or
+/// silent leaves it open whether the request ran.
+pub async fn ask(
+    state: &HostState,
+    ticket: &RequestTicket,
+    text: &str,
+    fingerprint: RequestFingerprint,
+    patience: Duration,
+) -> TicketResult {
+    if state.node.view().is_gone(ticket.issuer) {
+        return TicketResult::MayHaveRun;
+    }
+    let request = PeerRequest::Settle(SettleRequest {
+        ticket: text.to_owned(),
+        fingerprint: fingerprint.0,
+    });
+    let timeout = SETTLE_TIMEOUT.min(patience);
+    let answer = state
+        .peers
+        .ask(ticket.issuer.address, &request, timeout)
+        .await;
+    match answer {
+        Ok(PeerAnswer::Settled(answer)) => result(answer),
+        Ok(_) | Err(_) => {
+            log::warn!("proxy: {} did not settle a ticket", ticket.issuer);
+            TicketResult::MayHaveRun
+        }
+    }
+}
+
+fn result(answer: SettleAnswer) -> TicketResult {
+    match answer {
+        SettleAnswer::Done(reply) => match reply.and_then(|bytes| decode_reply(&bytes)) {
+            Some(reply) => TicketResult::Reply(reply),
+            None => TicketResult::DoneWithoutReply,
+        },
+        SettleAnswer::Running => TicketResult::StillRunning,
+        SettleAnswer::NotRun => TicketResult::NeedsTicket,
+        SettleAnswer::MayHaveRun => TicketResult::MayHaveRun,
+        SettleAnswer::OtherRequest => TicketResult::OtherRequest,
+    }
+}
+
+/// Tells another host what became of a ticket of this one.
+pub fn answer(state: &Arc<HostState>, request: &SettleRequest) -> SettleAnswer {
+    let Ok(ticket) = state.ticket_key.open(&request.ticket) else {
+        return SettleAnswer::MayHaveRun;
+    };
+    let fingerprint = RequestFingerprint(request.fingerprint);
+    let now = state.node.clock.now();
+    let decision = lock(&state.tickets).settle(&ticket, fingerprint, now);
+    match decision {
+        SettleDecision::Done(reply) => SettleAnswer::Done(reply.map(|bytes| bytes.to_vec())),
+        SettleDecision::Running => SettleAnswer::Running,
+        SettleDecision::NotRun => SettleAnswer::NotRun,
+        SettleDecision::MayHaveRun => SettleAnswer::MayHaveRun,
+        SettleDecision::OtherRequest => SettleAnswer::OtherRequest,
+    }
+}
--- a/crates/hyssopstaird/src/host/state.rs
+++ b/crates/hyssopstaird/src/host/state.rs
@@ -5,18 +5,29 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use hyssopstair_requests::admission::AdmissionState;
+use hyssopstair_requests::budget::RetryBudget;
+use hyssopstair_requests::ledger::LedgerLimits;
+use hyssopstair_requests::ledger::TicketLedger;
+use hyssopstair_requests::relay::PeerLoads;
+use hyssopstair_requests::relay::RelayLog;
+use hyssopstair_requests::ticket::TicketKey;
+use hyssopstair_requests::ticket::TicketNumber;
 use hyssopstair_routing::host::HostGate;
 use hyssopstair_routing::host::HostLoad;
 use hyssopstair_routing::host::ReturnTable;
 use hyssopstair_rules::rule_set::ServiceRule;
 use hyssopstair_rules::settings::HostSettings;
 use hyssopstair_wire::address::ServiceId;
+use tokio::sync::Notify;
 
 use crate::control::node::ControlNode;
+use crate::control::node::lock;
+use crate::host::slots::SlotDesk;
 use crate::host::socket::PacketQueue;
+use crate::peer::client::PeerPool;
 
 /// Locks that callers' return paths are spread over.
 const RETURN_SHARDS: usize = 16;
@@ -30,8 +41,24 @@
     pub backend: SocketAddrV4,
     /// Packets on their way to QUIC.
     pub queue: PacketQueue,
-    /// Requests that run.
-    pub admission: Mutex<AdmissionState>,
+    /// Slots of the backend server.
+    pub slots: Mutex<SlotDesk>,
+    /// Tickets that this process has issued.
+    pub tickets: Mutex<TicketLedger>,
+    /// The key of tickets.
+    pub ticket_key: TicketKey,
+    /// Notified when a request that holds a ticket ends.
+    pub ticket_ended: Notify,
+    /// Connections to other hosts.
+    pub peers: PeerPool,
+    /// What other hosts said of their load.
+    pub peer_loads: Mutex<PeerLoads>,
+    /// Second tries that are left.
+    pub budget: Mutex<RetryBudget>,
+    /// Requests that other hosts have handed over.
+    pub relays: Mutex<RelayLog>,
+    /// The number of the last relay that was sent.
+    pub relay_number: AtomicU64,
     /// The decisions about packets, from the time that the service is known.
     pub gate: Mutex<Option<HostGate>>,
     name: String,
@@ -43,16 +70,26 @@
 impl HostState {
     /// Creates the state.
     pub fn new(settings: &HostSettings, node: Arc<ControlNode>) -> Self {
+        let first = TicketNumber(u64::from(rand::random::<u32>()));
+        let ledger = TicketLedger::new(node.me(), LedgerLimits::default(), first);
         Self {
-            node,
             backend: settings.backend,
             queue: PacketQueue::default(),
-            admission: Mutex::default(),
+            slots: Mutex::default(),
+            tickets: Mutex::new(ledger),
+            ticket_key: TicketKey::derive(&node.secret),
+            ticket_ended: Notify::new(),
+            peers: PeerPool::default(),
+            peer_loads: Mutex::new(PeerLoads::new(rand::random())),
+            budget: Mutex::default(),
+            relays: Mutex::new(RelayLog::new(node.me())),
+            relay_number: AtomicU64::new(0),
             gate: Mutex::default(),
             name: settings.service.clone(),
             returns: (0..RETURN_SHARDS).map(|_| Mutex::default()).collect(),
             flows: AtomicU32::new(0),
             draining: AtomicBool::new(false),
+            node,
         }
     }
 
@@ -78,7 +115,7 @@
     /// Notes that a balancer does not answer.
     pub fn lose_balancer(&self, address: SocketAddrV4) {
         for table in &self.returns {
-            crate::control::node::lock(table).lose_balancer(address);
+            lock(table).lose_balancer(address);
         }
     }
 
@@ -113,8 +150,10 @@
         drained_by_rule || self.draining.load(Ordering::Relaxed)
     }
 
-    /// Takes nothing new from now on.
+    /// Takes nothing new from now on. Tickets that were not shown yet are void,
+    /// so that other hosts can settle them while this process still answers.
     pub fn start_draining(&self) {
+        lock(&self.tickets).void_unused();
         self.draining.store(true, Ordering::Relaxed);
     }
 }
--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -17,6 +17,7 @@
 use crate::error::DaemonError;
 use crate::host;
 use crate::peer;
+use crate::peer::server::PeerDesk;
 
 /// Runs a daemon until it is told to stop.
 ///
@@ -39,7 +40,8 @@
         admin::bind(settings.admin).await?,
         node.clone(),
     ));
-    peer::serve(settings.inner, node.clone())?;
+    let desk = PeerDesk::new(node.clone());
+    peer::serve(settings.inner, &desk)?;
     control::spawn_loops(&node, &settings.platform);
     match &settings.role {
         RoleSettings::Balancer(role) => {
@@ -49,7 +51,7 @@
             handle.drain().await;
         }
         RoleSettings::Host(role) => {
-            let handle = host::start(role, node.clone()).await?;
+            let handle = host::start(role, node.clone(), &desk).await?;
             wait_for_stop().await?;
             node.declare(MemberState::Draining).await;
             handle.drain().await;
--- /dev/null
+++ b/crates/hyssopstaird/src/peer/mod.rs
@@ -0,0 +1,8 @@
+//! Questions between two processes, over nng: [`server`] answers them, and
+//! [`client`] asks them.
+
+pub mod client;
+pub mod server;
+
+pub use crate::peer::client::ask;
+pub use crate::peer::server::serve;
--- /dev/null
+++ b/crates/hyssopstaird/src/peer/server.rs
@@ -0,0 +1,128 @@
+//! Answers the questions of other processes.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::OnceLock;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use hyssopstair_wire::peer::PeerAnswer;
+use hyssopstair_wire::peer::PeerRequest;
+use hyssopstair_wire::peer::decode_request;
+use hyssopstair_wire::peer::encode_answer;
+use nng::Aio;
+use nng::AioResult;
+use nng::Context;
+use nng::Message;
+use nng::Protocol;
+use nng::Socket;
+use tokio::runtime::Handle;
+
+use crate::control::node::ControlNode;
+use crate::error::DaemonError;
+use crate::host::relay;
+use crate::host::settle;
+use crate::host::state::HostState;
+
+/// Questions that are worked on at once.
+const WORKERS: usize = 64;
+
+/// What answers are taken from.
+#[derive(Debug, Clone)]
+pub struct PeerDesk {
+    node: Arc<ControlNode>,
+    host: Arc<OnceLock<Arc<HostState>>>,
+}
+
+impl PeerDesk {
+    /// Creates the desk of a process that is not a host yet.
+    pub fn new(node: Arc<ControlNode>) -> Self {
+        Self {
+            node,
+            host: Arc::default(),
+        }
+    }
+
+    /// Lets peers ask about requests from now on.
+    pub fn open_host(&self, state: Arc<HostState>) {
+        let _ = self.host.set(state);
+    }
+
+    async fn answer(&self, request: PeerRequest) -> PeerAnswer {
+        match (request, self.host.get()) {
+            (PeerRequest::Configuration { above }, _) => self.configuration(above),
+            (PeerRequest::Settle(request), Some(host)) => {
+                PeerAnswer::Settled(settle::answer(host, &request))
+            }
+            (PeerRequest::Relay(request), Some(host)) => {
+                PeerAnswer::Relayed(relay::answer(host, *request).await)
+            }
+            (PeerRequest::Settle(_) | PeerRequest::Relay(_), None) => PeerAnswer::Refused,
+        }
+    }
+
+    fn configuration(&self, above: u64) -> PeerAnswer {
+        let config = self.node.config();
+        if config.version() <= above {
+            return PeerAnswer::UpToDate;
+        }
+        PeerAnswer::Configuration {
+            version: config.version(),
+            text: config.text().to_string(),
+        }
+    }
+}
+
+/// Answers questions of peers until the process ends.
+///
+/// # Errors
+///
+/// Returns an error when the address is in use.
+pub fn serve(address: SocketAddrV4, desk: &PeerDesk) -> Result<(), Report<DaemonError>> {
+    let context = || DaemonError::new(format!("failed to listen for peers on {address}"));
+    let socket = Socket::new(Protocol::Rep0).change_context_lazy(context)?;
+    let handle = Handle::current();
+    for _ in 0..WORKERS {
+        let worker = Context::new(&socket).change_context_lazy(context)?;
+        let receiver = worker.clone();
+        let desk = desk.clone();
+        let handle = handle.clone();
+        let aio = Aio::new(move |aio, result| {
+            step(&worker, &aio, result, &desk, &handle);
+        })
+        .change_context_lazy(context)?;
+        receiver.recv(&aio).change_context_lazy(context)?;
+    }
+    socket
+        .listen(&format!("tcp://{address}"))
+        .change_context_lazy(context)?;
+    Ok(())
+}
+
+fn step(worker: &Context, aio: &Aio, result: AioResult, desk: &PeerDesk, handle: &Handle) {
+    match result {
+        AioResult::Recv(Ok(message)) => {
+            let worker = worker.clone();
+            let aio = aio.clone();
+            let desk = desk.clone();
+            handle.spawn(async move {
+                let answer = answer_message(&desk, &message).await;
+                if worker.send(&aio, answer).is_err() {
+                    log::warn!("peer: an answer could not be sent");
+                }
+            });
+        }
+        AioResult::Send(_) | AioResult::Recv(Err(_)) => {
+            let _ = worker.recv(aio);
+        }
+        AioResult::Sleep(_) => {}
+    }
+}
+
+async fn answer_message(desk: &PeerDesk, message: &Message) -> Message {
+    let answer = match decode_request(message.as_slice()) {
+        Some(request) => desk.answer(request).await,
+        None => PeerAnswer::Refused,
+    };
+    Message::from(encode_answer(&answer).as_slice())
+}
--- a/crates/requests/src/admission.rs
+++ b/crates/requests/src/admission.rs
@@ -92,6 +92,8 @@
 pub enum SlotEnd {
     /// With an answer, after this time.
     Completed(Duration),
+    /// Without an answer before the deadline, after this time.
+    TimedOut(Duration),
     /// The backend server shed the request.
     Shed,
     /// The backend server could not be reached or broke off.
@@ -192,6 +194,10 @@
                 self.pause = Duration::ZERO;
                 self.limit.grow(rules);
             }
+            SlotEnd::TimedOut(time) => {
+                self.estimate.record(time);
+                self.limit = WorkingLimit::default();
+            }
             SlotEnd::Shed | SlotEnd::Failed => self.back_off(now),
             SlotEnd::Unused => {}
         }
--- a/crates/testkit/examples/backend.rs
+++ b/crates/testkit/examples/backend.rs
@@ -25,6 +25,14 @@
     /// time that a request takes, in milliseconds
     #[argh(option, default = "20")]
     work: u64,
+
+    /// time after the start in which requests take longer, in milliseconds
+    #[argh(option, default = "0")]
+    cold: u64,
+
+    /// how much longer they take then, in milliseconds
+    #[argh(option, default = "0")]
+    cold_work: u64,
 }
 
 #[tokio::main]
@@ -33,6 +41,8 @@
     let behaviour = BackendBehaviour {
         slots: args.slots,
         work_millis: args.work,
+        cold_millis: args.cold,
+        cold_work_millis: args.cold_work,
         ..BackendBehaviour::default()
     };
     let server = BackendServer::new(&args.service, behaviour);
