--- a/crates/hyssopstaird/src/control/configuration.rs
+++ b/crates/hyssopstaird/src/control/configuration.rs
@@ -70,7 +70,7 @@
             Ok(PeerAnswer::Configuration { version, text }) => {
                 node.offer_config(version, &text);
             }
-            Ok(PeerAnswer::UpToDate) => {}
+            Ok(_) => {}
             Err(report) => log::warn!("config: {report:?}"),
         }
     });
