Keep the roster by gossip of changes, ring probes and digests

Cause: the roster pushed all entries at random and had no failure detection: a killed member stayed for ever, a paused one never learned that it was given up, and an old announcement could bring back a member that was gone.

Ruled out: watchers by rendezvous hashing over all pairs, because each process would compare every pair of members (3e9 hashes at 55,000 members) after each change. A ring ordered by the hash of the address gives exactly three watchers per member in one pass. Ruled out too: suspicion as gossip. It is kept by the watchers, who ask others to ping the silent member; only Gone travels.

Change: state machine of bounded change queue, probes with relays, tombstones, two-level digests, join by pages, presence (unconfirmed after a start or a pause), incarnation raised above that of an earlier process, token bucket. The daemon takes its incarnation from the roster and is ready only once it has joined. A configuration that cannot be read is remembered and reported.

--- a/crates/hyssopstaird/src/admin.rs
+++ b/crates/hyssopstaird/src/admin.rs
@@ -59,14 +59,16 @@
     })
 }
 
-/// Ready means: there is a configuration, and the process is not leaving.
+/// Ready means: there is a configuration, the members are known, and the process
+/// is not leaving.
 async fn ready(State(node): State<Arc<ControlNode>>) -> StatusCode {
     let me = node.me();
     let leaving = node
         .members()
         .iter()
         .any(|entry| entry.process == me && entry.state != MemberState::Alive);
-    if leaving || node.view().version == 0 {
+    let unsure = !node.is_joined() || !node.is_confirmed();
+    if leaving || unsure || node.view().version == 0 {
         return StatusCode::SERVICE_UNAVAILABLE;
     }
     StatusCode::OK
--- a/crates/hyssopstaird/src/control/gossip.rs
+++ b/crates/hyssopstaird/src/control/gossip.rs
@@ -27,5 +27,7 @@
         return;
     };
     node.receive_control(&message).await;
-    configuration::hear_version(node, message.sender.address, message.version);
+    if node.wants_config(message.version) {
+        configuration::hear_version(node, message.sender.address, message.version);
+    }
 }
--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
 use error_stack::Report;
@@ -12,6 +14,7 @@
 use hyssopstair_roster::state::RosterAction;
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_roster::versions::ConfigState;
+use hyssopstair_roster::versions::OfferResult;
 use hyssopstair_routing::view::RoutingView;
 use hyssopstair_rules::settings::DaemonSettings;
 use hyssopstair_rules::settings::RoleSettings;
@@ -50,7 +53,8 @@
     /// The name of the service, for a host.
     pub service_name: Option<String>,
     zone_name: String,
-    me: ProcessId,
+    address: SocketAddrV4,
+    incarnation: AtomicU32,
     roster: Mutex<RosterState>,
     config: Mutex<ConfigState>,
     view: ArcSwap<RoutingView>,
@@ -92,16 +96,42 @@
             secret,
             service_name,
             zone_name: settings.zone.clone(),
-            me,
+            address: me.address,
+            incarnation: AtomicU32::new(me.incarnation.0),
             roster: Mutex::new(roster),
             config: Mutex::new(config),
             view: ArcSwap::from_pointee(view),
         })
     }
 
-    /// Returns the name of the process.
+    /// Returns the name of the process. Its incarnation grows when an earlier
+    /// process at the address is found to have had a higher one.
     pub fn me(&self) -> ProcessId {
-        self.me
+        ProcessId {
+            address: self.address,
+            incarnation: HostIncarnation(self.incarnation.load(Ordering::Acquire)),
+        }
+    }
+
+    /// Returns whether the process may take new work: another member has
+    /// answered since it started or was paused, or there is none to ask.
+    pub fn is_confirmed(&self) -> bool {
+        lock(&self.roster).is_confirmed(self.clock.now())
+    }
+
+    /// Returns whether the process knows all that the others know.
+    pub fn is_joined(&self) -> bool {
+        lock(&self.roster).is_joined()
+    }
+
+    /// Returns whether a configuration of this version would be news.
+    pub fn wants_config(&self, version: u64) -> bool {
+        lock(&self.config).wants(version)
+    }
+
+    /// Returns the number of members that are not gone.
+    pub fn live_members(&self) -> usize {
+        lock(&self.roster).live()
     }
 
     /// Returns the present view.
@@ -126,13 +156,20 @@
 
     /// Takes a configuration if it is newer, and returns whether it did.
     pub fn offer_config(&self, version: u64, text: &str) -> bool {
-        let taken = lock(&self.config).offer(version, text);
-        if taken {
-            log::info!("config: version {version} is in force");
-            self.announce_role();
-            self.rebuild_view();
+        let result = lock(&self.config).offer(version, text);
+        match result {
+            OfferResult::Taken => {
+                log::info!("config: version {version} is in force");
+                self.announce_role();
+                self.rebuild_view();
+                true
+            }
+            OfferResult::Refused => {
+                self.report_refused();
+                false
+            }
+            OfferResult::Known => false,
         }
-        taken
     }
 
     /// Takes in a control message.
@@ -150,10 +187,10 @@
 
     /// Changes what the process says about itself and tells other members.
     pub async fn declare(&self, state: MemberState) {
-        self.change_roster(|roster, _| roster.declare(state));
+        self.change_roster(|roster, node| roster.declare(state, node.clock.now()));
         for _ in 0..FAREWELL_ROUNDS {
             let version = lock(&self.config).version();
-            let actions = lock(&self.roster).farewell(version);
+            let actions = lock(&self.roster).farewell(version, self.clock.now());
             self.carry_out(&actions).await;
         }
     }
@@ -171,7 +208,7 @@
             zone: rules.zone(&self.zone_name).unwrap_or(0),
             weight: 1,
         };
-        lock(&self.roster).declare_role(role);
+        self.change_roster(|roster, node| roster.declare_role(role, node.clock.now()));
     }
 
     fn change_roster<T>(&self, change: impl FnOnce(&mut RosterState, &Self) -> T) -> T {
@@ -179,13 +216,34 @@
         let before = roster.changes();
         let result = change(&mut roster, self);
         let changed = roster.changes() != before;
+        let incarnation = roster.me().process.incarnation;
         drop(roster);
+        self.note_incarnation(incarnation);
         if changed {
             self.rebuild_view();
         }
         result
     }
 
+    fn note_incarnation(&self, incarnation: HostIncarnation) {
+        let before = self.incarnation.swap(incarnation.0, Ordering::AcqRel);
+        if before != incarnation.0 {
+            log::warn!(
+                "gossip: took incarnation {incarnation}, as one above {before} was known here"
+            );
+        }
+    }
+
+    fn report_refused(&self) {
+        let config = lock(&self.config).clone();
+        let Some(refused) = config.refused() else {
+            return;
+        };
+        for error in refused.errors.iter() {
+            log::error!("config: version {} is refused: {error}", refused.version);
+        }
+    }
+
     fn rebuild_view(&self) {
         // The roster lock is held to the end, so that of two rebuilds the later
         // one is the one that stays.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -79,35 +79,75 @@
 pub enum ControlBody {
     /// Entries that changed of late.
     Changes(Vec<MemberEntry>),
-    /// Asks for an answer; carries changes.
+    /// Asks for an answer.
     Ping {
         /// Repeated in the answer.
         number: u32,
-        /// Entries that changed of late.
+        /// The entry of the sender, and that of the receiver if it is wrong.
         changes: Vec<MemberEntry>,
     },
-    /// Answers a ping; carries changes.
+    /// Answers a ping.
     Pong {
         /// The number of the ping.
         number: u32,
-        /// Entries that changed of late.
+        /// What the pinging process did not know of the two.
         changes: Vec<MemberEntry>,
     },
-    /// Asks for all that the receiver has and the sender's digest lacks.
+    /// Asks the receiver to ping a member that does not answer the sender.
+    PingFor {
+        /// The member.
+        target: ProcessId,
+    },
+    /// Says that a member answered the sender.
+    Heard {
+        /// The member.
+        target: ProcessId,
+    },
+    /// Compares two rosters.
     Digest {
+        /// Goes into the hashes, so that a collision does not repeat.
+        salt: u32,
         /// One hash per bucket of addresses.
-        buckets: Vec<u32>,
+        buckets: Vec<u16>,
+    },
+    /// Compares one bucket of two rosters.
+    Leaves {
+        /// The salt of the digest.
+        salt: u32,
+        /// The bucket.
+        bucket: u8,
+        /// One hash per leaf of the bucket.
+        leaves: Vec<u16>,
+    },
+    /// All that the sender knows of some leaves; asks for what it lacks.
+    Fill {
+        /// The bucket.
+        bucket: u8,
+        /// The leaves, one bit each.
+        leaves: u64,
+        /// The entries.
+        entries: Vec<MemberEntry>,
     },
-    /// Asks for the whole roster, page by page.
+    /// Asks for a page of the roster.
     Join {
         /// Entries with higher addresses are wanted; none for the first page.
         after: Option<SocketAddrV4>,
     },
     /// A page of the roster.
     Page {
+        /// As in the question.
+        after: Option<SocketAddrV4>,
+        /// What the sender knows of the receiver's address.
+        known: Option<MemberEntry>,
         /// The entries, by address.
         entries: Vec<MemberEntry>,
         /// Whether more follow.
         more: bool,
     },
 }
+
+/// Longest control packet in bytes.
+pub const MAX_CONTROL_LENGTH: usize = 1_200;
+
+/// Entries in one message at most: 40 of the longest form, 26 bytes each, fit.
+pub const MAX_ENTRIES: usize = 40;
