--- a/crates/roster/src/exchange.rs
+++ b/crates/roster/src/exchange.rs
@@ -24,6 +24,9 @@
 /// Buckets that one digest repairs at most.
 const MAX_BUCKETS: usize = 8;
 
+/// Other members that a process without room for a page names.
+const REFERRALS: usize = 3;
+
 /// Pings on behalf of others that are remembered at once.
 const MAX_RELAYS: usize = 64;
 
@@ -266,6 +269,7 @@
         now: MonotonicTime,
     ) {
         if !self.has_room(SendClass::Repair, now) {
+            self.refer(actions, to, now);
             return;
         }
         // A process that starts has not found its incarnation yet.
@@ -293,6 +297,17 @@
         self.send(actions, SendClass::Repair, to, body, now);
     }
 
+    /// Names other members to a process that joins, who can give it pages.
+    fn refer(&mut self, actions: &mut Vec<RosterAction>, to: SocketAddrV4, now: MonotonicTime) {
+        let mut entries = Vec::new();
+        for _ in 0..REFERRALS {
+            let address = self.random_live();
+            entries.extend(address.and_then(|address| self.table.find(address)));
+        }
+        let body = ControlBody::Changes(entries);
+        self.send(actions, SendClass::Change, to, body, now);
+    }
+
     fn take_page(
         &mut self,
         actions: &mut Vec<RosterAction>,
@@ -308,13 +323,7 @@
             self.presence.welcome();
             self.announce(now);
         }
-        for entry in entries {
-            if entry.process.address == self.me.process.address {
-                self.hear_of_me(entry, now);
-            } else {
-                self.table.merge(entry, now);
-            }
-        }
+        self.insert_known(entries, now);
         if more {
             self.join.after = entries.last().map(|entry| entry.process.address);
             self.ask_page(actions, now);
--- a/crates/roster/src/queue.rs
+++ b/crates/roster/src/queue.rs
@@ -9,7 +9,7 @@
 const FEW_SENDS: u32 = 3;
 
 /// Times that a change is sent beyond the logarithm of the fleet's size.
-const EXTRA_SENDS: u32 = 2;
+const EXTRA_SENDS: u32 = 4;
 
 /// A change that is still to be sent.
 #[derive(Debug, Clone, Copy)]
@@ -37,8 +37,8 @@
 
     /// Adds a change, in place of an earlier one of the same member.
     ///
-    /// With each change sent `ln n + 2` times by each of `n` members, the share
-    /// of members that it misses is about `exp(-2) / n`.
+    /// With each change sent `ln n + 4` times by each of `n` members, the share
+    /// of members that it misses is about `exp(-4) / n`.
     pub fn push(&mut self, address: SocketAddrV4, fleet: usize) {
         self.changes.retain(|change| change.address != address);
         let sends = (fleet.max(1) as f64).ln().ceil() as u32 + EXTRA_SENDS;
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -200,6 +200,15 @@
         self.contacts.push(address);
     }
 
+    /// Takes entries without passing them on.
+    pub fn insert_known(&mut self, entries: &[MemberEntry], now: MonotonicTime) {
+        for entry in entries {
+            if entry.process.address != self.me.process.address {
+                self.table.merge(entry, now);
+            }
+        }
+    }
+
     /// Changes what the process says about itself.
     pub fn declare(&mut self, state: MemberState, now: MonotonicTime) {
         if self.me.state == state {
--- a/crates/roster/tests/bag/mod.rs
+++ b/crates/roster/tests/bag/mod.rs
@@ -10,6 +10,7 @@
 use hyssopstair_wire::address::HostIncarnation;
 use hyssopstair_wire::address::ProcessId;
 use hyssopstair_wire::address::ServiceId;
+use hyssopstair_wire::control::ControlBody;
 use hyssopstair_wire::control::ControlMessage;
 use hyssopstair_wire::control::MemberEntry;
 use hyssopstair_wire::control::MemberRole;
@@ -53,6 +54,9 @@
     pub now: MonotonicTime,
     /// Share of messages that are lost.
     pub loss: f64,
+    /// Share of changes for members that are not in the bag that reach one that
+    /// is, so that few processes can stand for many.
+    pub redirected: f64,
     messages: Vec<BagMessage>,
     random: StdRng,
 }
@@ -91,6 +95,7 @@
             nodes: Vec::new(),
             now: MonotonicTime::from_millis(1),
             loss: 0.0,
+            redirected: 0.0,
             messages: Vec::new(),
             random: StdRng::seed_from_u64(seed),
         }
@@ -119,7 +124,10 @@
             self.start(100, (number > 0).then_some(0));
             self.run(Duration::from_millis(20));
         }
-        self.run(Duration::from_secs(20));
+        let converged = self.run_until(Duration::from_secs(60), Self::agree);
+        assert!(converged.is_some(), "the fleet did not converge");
+        // Digests are frequent for a time after joining.
+        self.run(Duration::from_secs(30));
     }
 
     /// Replaces a process by a new one at the same address.
@@ -227,7 +235,7 @@
             .partition(|message| message.due <= now);
         self.messages = later;
         for message in due {
-            let to = (message.to.ip().to_bits() - 0x0a00_0000) as usize;
+            let to = self.receiver(&message);
             let Some(node) = self.nodes.get(to) else {
                 continue;
             };
@@ -238,4 +246,16 @@
             self.carry_out(to, actions);
         }
     }
+
+    fn receiver(&mut self, message: &BagMessage) -> usize {
+        let to = (message.to.ip().to_bits() - 0x0a00_0000) as usize;
+        let shared = matches!(
+            message.message.body,
+            ControlBody::Changes(_) | ControlBody::Digest { .. }
+        );
+        if to >= self.nodes.len() && shared && self.random.random_bool(self.redirected) {
+            return self.random.random_range(0..self.nodes.len());
+        }
+        to
+    }
 }
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -30,7 +30,6 @@
 fn fleet(count: usize) -> MessageBag {
     let mut bag = MessageBag::new(SEED);
     bag.start_fleet(count);
-    assert!(bag.agree(), "the fleet did not converge");
     bag
 }
 
@@ -252,3 +251,9 @@
         body: ControlBody::Changes(entries),
     }
 }
+
+#[test]
+fn a_large_fleet_joins_through_one_contact() {
+    let bag = fleet(300);
+    assert!(bag.nodes.iter().all(|it| it.roster.is_joined()));
+}
