Hand new flows over by load, and prove the decisions about packets

Cause: the first host handed a flow over only when full or draining, so the imbalance was that of plain hashing; nothing tested the decisions; the return path kept a list of balancers per shard, so that a balancer heard by one shard was quiet to the others, and a host went on sending to the same quiet one. Ruled out: load reports as control messages (they ride on returned packets); reliance on refused datagrams (an unconnected socket seldom reports them). Change: return headers carry host and load; balancers remember them and name the second host with its load in the header of an opening packet; the first decides by its own load and remembers. Host tables in 256 locked shards. Counts per event and drop reason. Secrets are derived once per view; headers are written to buffers that are used again. Before: no test.

--- a/crates/hyssopstaird/src/balancer/mod.rs
+++ b/crates/hyssopstaird/src/balancer/mod.rs
@@ -6,8 +6,12 @@
 
 use error_stack::Report;
 use error_stack::ResultExt;
+use hyssopstair_routing::balancer::BalancerContext;
+use hyssopstair_routing::balancer::DropReason;
 use hyssopstair_routing::balancer::RouteAction;
 use hyssopstair_routing::balancer::route_packet;
+use hyssopstair_routing::counts::PacketEvent;
+use hyssopstair_routing::loads::LoadTable;
 use hyssopstair_routing::reset::reset_packet;
 use hyssopstair_rules::settings::BalancerSettings;
 use hyssopstair_wire::entry::EntryPath;
@@ -16,9 +20,9 @@
 use hyssopstair_wire::packet::MAX_PACKET_LENGTH;
 use hyssopstair_wire::packet::PacketKind;
 use hyssopstair_wire::packet::ReturnHeader;
-use hyssopstair_wire::packet::encode_packet;
 use hyssopstair_wire::packet::split_kind;
 use hyssopstair_wire::packet::split_message;
+use hyssopstair_wire::packet::write_packet;
 use tokio::net::UdpSocket;
 
 use crate::control::gossip;
@@ -49,6 +53,7 @@
     node: Arc<ControlNode>,
     entry: UdpSocket,
     fabric: SocketAddr,
+    loads: LoadTable,
 }
 
 /// Starts to forward.
@@ -72,6 +77,7 @@
         node,
         entry,
         fabric: settings.fabric,
+        loads: LoadTable::default(),
     });
     for _ in 0..READERS {
         tokio::spawn(read_entry(paths.clone()));
@@ -82,38 +88,48 @@
 
 async fn read_entry(paths: Arc<BalancerPaths>) {
     let mut buffer = vec![0; MAX_PACKET_LENGTH];
+    let mut outgoing = vec![0; MAX_PACKET_LENGTH];
     loop {
         let Ok((length, _)) = paths.entry.recv_from(&mut buffer).await else {
             continue;
         };
-        if let Some((path, datagram)) = split_entry(&buffer[..length]) {
-            forward(&paths, &path, datagram).await;
+        match split_entry(&buffer[..length]) {
+            Some((path, datagram)) => forward(&paths, &path, datagram, &mut outgoing).await,
+            None => paths.count_malformed(),
         }
     }
 }
 
-async fn forward(paths: &BalancerPaths, path: &EntryPath, datagram: &[u8]) {
+async fn forward(paths: &BalancerPaths, path: &EntryPath, datagram: &[u8], outgoing: &mut [u8]) {
     let view = paths.node.view();
-    match route_packet(&view, paths.node.me().address, path, datagram) {
+    let context = BalancerContext {
+        address: paths.node.me().address,
+        view: &view,
+        loads: &paths.loads,
+    };
+    match route_packet(&context, path, datagram, paths.node.clock.now()) {
         RouteAction::Forward { host, header } => {
-            if let Ok(packet) = encode_packet(PacketKind::Forward, &header, datagram) {
-                let _ = paths.node.socket.send_to(&packet, host.address).await;
+            paths.node.counts.count(PacketEvent::Forwarded);
+            if let Ok(length) = write_packet(outgoing, PacketKind::Forward, &header, datagram) {
+                let packet = &outgoing[..length];
+                let _ = paths.node.socket.send_to(packet, host.address).await;
             }
         }
         RouteAction::Reset { connection } => {
-            let key = paths.node.secret.derive(b"reset");
-            if let Some(packet) = reset_packet(&key, connection, datagram.len(), rand::random()) {
+            let key = view.reset_secret();
+            if let Some(packet) = reset_packet(key, connection, datagram.len(), rand::random()) {
+                paths.node.counts.count(PacketEvent::Reset);
                 let back = EntryPath {
                     source: path.destination,
                     destination: path.source,
                 };
-                let _ = paths
-                    .entry
-                    .send_to(&encode_entry(&back, &packet), paths.fabric)
-                    .await;
+                paths.send_to_caller(&back, &packet).await;
             }
         }
-        RouteAction::Drop(_) => {}
+        RouteAction::Drop(reason) => {
+            paths.node.counts.count(PacketEvent::Dropped(reason));
+            log::debug!("balancer: dropped a packet: {reason:?}");
+        }
     }
 }
 
@@ -126,21 +142,35 @@
         match split_kind(&buffer[..length]) {
             Ok((PacketKind::Return, rest)) => give_back(&paths, rest).await,
             Ok((PacketKind::Control, rest)) => gossip::receive(&paths.node, rest).await,
-            Ok((PacketKind::Forward, _)) | Err(_) => {}
+            Ok((PacketKind::Forward, _)) | Err(_) => paths.count_malformed(),
         }
     }
 }
 
 async fn give_back(paths: &BalancerPaths, rest: &[u8]) {
     let Ok((header, datagram)) = split_message::<ReturnHeader>(rest) else {
+        paths.count_malformed();
         return;
     };
+    let now = paths.node.clock.now();
+    paths.loads.hear(header.host, header.load, now);
+    paths.node.counts.count(PacketEvent::Returned);
     let path = EntryPath {
         source: header.target,
         destination: header.caller,
     };
-    let _ = paths
-        .entry
-        .send_to(&encode_entry(&path, datagram), paths.fabric)
-        .await;
+    paths.send_to_caller(&path, datagram).await;
+}
+
+impl BalancerPaths {
+    fn count_malformed(&self) {
+        let event = PacketEvent::Dropped(DropReason::Malformed);
+        self.node.counts.count(event);
+    }
+
+    /// Sends a datagram to a caller. A datagram that cannot be sent is lost.
+    async fn send_to_caller(&self, path: &EntryPath, datagram: &[u8]) {
+        let packet = encode_entry(path, datagram);
+        let _ = self.entry.send_to(&packet, self.fabric).await;
+    }
 }
--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -12,6 +12,7 @@
 use hyssopstair_roster::state::RosterAction;
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_roster::versions::ConfigState;
+use hyssopstair_routing::counts::PacketCounts;
 use hyssopstair_routing::view::RoutingView;
 use hyssopstair_rules::settings::DaemonSettings;
 use hyssopstair_rules::settings::RoleSettings;
@@ -47,6 +48,8 @@
     pub socket: Arc<UdpSocket>,
     /// The secret of the fleet.
     pub secret: FleetSecret,
+    /// Counts of packets.
+    pub counts: PacketCounts,
     /// The name of the service, for a host.
     pub service_name: Option<String>,
     zone_name: String,
@@ -90,6 +93,7 @@
             clock: ProcessClock::start(),
             socket: Arc::new(socket),
             secret,
+            counts: PacketCounts::default(),
             service_name,
             zone_name: settings.zone.clone(),
             me,
--- a/crates/hyssopstaird/src/host/connection.rs
+++ b/crates/hyssopstaird/src/host/connection.rs
@@ -43,8 +43,11 @@
             host: self.state.node.me(),
             nonce: self.nonce.fetch_add(1, Ordering::Relaxed),
         };
-        let key = self.state.node.secret.route_key(number);
-        ConnectionId::new(&token.seal(&key))
+        let bytes = match view.ring.find(number) {
+            Some(key) => token.seal(key),
+            None => token.seal(&self.state.node.secret.route_key(number)),
+        };
+        ConnectionId::new(&bytes)
     }
 
     fn cid_len(&self) -> usize {
--- a/crates/hyssopstaird/src/host/ingress.rs
+++ b/crates/hyssopstaird/src/host/ingress.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
-use hyssopstair_routing::host::HostAction;
-use hyssopstair_routing::host::HostGate;
+use hyssopstair_routing::balancer::DropReason;
+use hyssopstair_routing::counts::PacketEvent;
+use hyssopstair_routing::gate::HostAction;
+use hyssopstair_routing::gate::HostGate;
 use hyssopstair_routing::reset::reset_packet;
 use hyssopstair_wire::packet::ForwardHeader;
 use hyssopstair_wire::packet::MAX_PACKET_LENGTH;
@@ -12,10 +14,10 @@
 use hyssopstair_wire::packet::encode_packet;
 use hyssopstair_wire::packet::split_kind;
 use hyssopstair_wire::packet::split_message;
+use hyssopstair_wire::packet::write_packet;
 
 use crate::control::configuration;
 use crate::control::gossip;
-use crate::control::node::lock;
 use crate::host::state::HostState;
 
 /// Tasks that read the inner socket.
@@ -30,20 +32,27 @@
 
 async fn read_inner(state: Arc<HostState>) {
     let mut buffer = vec![0; MAX_PACKET_LENGTH];
+    let mut outgoing = vec![0; MAX_PACKET_LENGTH];
     loop {
         let Ok((length, _)) = state.node.socket.recv_from(&mut buffer).await else {
             continue;
         };
         match split_kind(&buffer[..length]) {
-            Ok((PacketKind::Forward, rest)) => receive(&state, rest).await,
+            Ok((PacketKind::Forward, rest)) => receive(&state, rest, &mut outgoing).await,
             Ok((PacketKind::Control, rest)) => gossip::receive(&state.node, rest).await,
-            Ok((PacketKind::Return, _)) | Err(_) => {}
+            Ok((PacketKind::Return, _)) | Err(_) => count_malformed(&state),
         }
     }
 }
 
-async fn receive(state: &Arc<HostState>, rest: &[u8]) {
+fn count_malformed(state: &HostState) {
+    let event = PacketEvent::Dropped(DropReason::Malformed);
+    state.node.counts.count(event);
+}
+
+async fn receive(state: &Arc<HostState>, rest: &[u8], outgoing: &mut [u8]) {
     let Ok((header, datagram)) = split_message::<ForwardHeader>(rest) else {
+        count_malformed(state);
         return;
     };
     configuration::hear_version(&state.node, header.balancer, header.version);
@@ -52,23 +61,30 @@
     };
     let load = state.load();
     let now = state.node.clock.now();
-    let action = lock(&state.gate)
-        .get_or_insert_with(|| HostGate::new(state.node.me(), service))
-        .receive(&header, datagram, &load, now);
-    match action {
+    let gate = state
+        .gate
+        .get_or_init(|| HostGate::new(state.node.me(), service));
+    match gate.receive(&header, datagram, &load, now) {
         HostAction::Accept => {
-            lock(state.returns(header.caller)).hear(&header, now);
+            state.node.counts.count(PacketEvent::Accepted);
+            state.returns.hear(&header, now);
             state.queue.push(header.caller, datagram.to_vec());
         }
         HostAction::PassOn { host, header } => {
-            if let Ok(packet) = encode_packet(PacketKind::Forward, &header, datagram) {
-                let _ = state.node.socket.send_to(&packet, host.address).await;
+            state.node.counts.count(PacketEvent::PassedOn);
+            if let Ok(length) = write_packet(outgoing, PacketKind::Forward, &header, datagram) {
+                let packet = &outgoing[..length];
+                let _ = state.node.socket.send_to(packet, host.address).await;
             }
         }
         HostAction::Reset { connection } => {
+            state.node.counts.count(PacketEvent::Reset);
             send_reset(state, &header, connection, datagram.len()).await;
         }
-        HostAction::Drop(reason) => log::debug!("ingress: dropped a packet: {reason:?}"),
+        HostAction::Drop(reason) => {
+            state.node.counts.count(PacketEvent::Dropped(reason));
+            log::debug!("ingress: dropped a packet: {reason:?}");
+        }
     }
 }
 
@@ -78,15 +94,18 @@
     connection: &[u8],
     trigger_length: usize,
 ) {
-    let key = state.node.secret.derive(b"reset");
-    let Some(reset) = reset_packet(&key, connection, trigger_length, rand::random()) else {
+    let view = state.node.view();
+    let key = view.reset_secret();
+    let Some(reset) = reset_packet(key, connection, trigger_length, rand::random()) else {
         return;
     };
     let back = ReturnHeader {
         service: header.service,
+        host: state.node.me(),
+        load: state.load().report(),
         caller: header.caller,
         target: header.target,
-        version: state.node.view().version,
+        version: view.version,
         trace: None,
     };
     if let Ok(packet) = encode_packet(PacketKind::Return, &back, &reset) {
--- a/crates/hyssopstaird/src/host/socket.rs
+++ b/crates/hyssopstaird/src/host/socket.rs
@@ -17,9 +17,10 @@
 use std::task::Waker;
 
 use hyssopstair_wire::entry::ipv4;
+use hyssopstair_wire::packet::MAX_PACKET_LENGTH;
 use hyssopstair_wire::packet::PacketKind;
 use hyssopstair_wire::packet::ReturnHeader;
-use hyssopstair_wire::packet::encode_packet;
+use hyssopstair_wire::packet::write_packet;
 use quinn::AsyncUdpSocket;
 use quinn::UdpPoller;
 use quinn::udp::RecvMeta;
@@ -97,8 +98,7 @@
             return Ok(());
         };
         let now = self.state.node.clock.now();
-        let route = lock(self.state.returns(caller)).route(caller, now);
-        let Some(route) = route else {
+        let Some(route) = self.state.returns.route(caller, now) else {
             return Ok(());
         };
         let Some(service) = self.state.service_id() else {
@@ -106,18 +106,27 @@
         };
         let header = ReturnHeader {
             service,
+            host: self.state.node.me(),
+            load: self.state.load().report(),
             caller,
             target: route.target,
             version: self.state.node.view().version,
             trace: None,
         };
-        let Ok(packet) = encode_packet(PacketKind::Return, &header, transmit.contents) else {
+        let mut buffer = [0; MAX_PACKET_LENGTH];
+        let written = write_packet(&mut buffer, PacketKind::Return, &header, transmit.contents);
+        let Ok(length) = written else {
             return Ok(());
         };
         let target = SocketAddr::V4(route.balancer);
-        match self.state.node.socket.try_send_to(&packet, target) {
+        match self
+            .state
+            .node
+            .socket
+            .try_send_to(&buffer[..length], target)
+        {
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                self.state.lose_balancer(route.balancer);
+                self.state.returns.lose_balancer(route.balancer);
                 Ok(())
             }
             // A full buffer loses the datagram, as a network would.
--- a/crates/hyssopstaird/src/host/state.rs
+++ b/crates/hyssopstaird/src/host/state.rs
@@ -3,14 +3,15 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
 use hyssopstair_requests::admission::AdmissionState;
-use hyssopstair_routing::host::HostGate;
-use hyssopstair_routing::host::HostLoad;
-use hyssopstair_routing::host::ReturnTable;
+use hyssopstair_routing::gate::HostGate;
+use hyssopstair_routing::gate::HostLoad;
+use hyssopstair_routing::returns::ReturnTable;
 use hyssopstair_rules::rule_set::ServiceRule;
 use hyssopstair_rules::settings::HostSettings;
 use hyssopstair_wire::address::ServiceId;
@@ -18,9 +19,6 @@
 use crate::control::node::ControlNode;
 use crate::host::socket::PacketQueue;
 
-/// Locks that callers' return paths are spread over.
-const RETURN_SHARDS: usize = 16;
-
 /// The state that the parts of a host share.
 #[derive(Debug)]
 pub struct HostState {
@@ -33,9 +31,10 @@
     /// Requests that run.
     pub admission: Mutex<AdmissionState>,
     /// The decisions about packets, from the time that the service is known.
-    pub gate: Mutex<Option<HostGate>>,
+    pub gate: OnceLock<HostGate>,
+    /// The ways back to callers.
+    pub returns: ReturnTable,
     name: String,
-    returns: Vec<Mutex<ReturnTable>>,
     flows: AtomicU32,
     draining: AtomicBool,
 }
@@ -48,9 +47,9 @@
             backend: settings.backend,
             queue: PacketQueue::default(),
             admission: Mutex::default(),
-            gate: Mutex::default(),
+            gate: OnceLock::new(),
+            returns: ReturnTable::default(),
             name: settings.service.clone(),
-            returns: (0..RETURN_SHARDS).map(|_| Mutex::default()).collect(),
             flows: AtomicU32::new(0),
             draining: AtomicBool::new(false),
         }
@@ -69,22 +68,11 @@
             .map(|service| service.id)
     }
 
-    /// Returns the return paths that a caller's belongs to.
-    pub fn returns(&self, caller: SocketAddrV4) -> &Mutex<ReturnTable> {
-        let shard = usize::from(caller.port()) % RETURN_SHARDS;
-        &self.returns[shard]
-    }
-
-    /// Notes that a balancer does not answer.
-    pub fn lose_balancer(&self, address: SocketAddrV4) {
-        for table in &self.returns {
-            crate::control::node::lock(table).lose_balancer(address);
-        }
-    }
-
     /// Returns the present load.
     pub fn load(&self) -> HostLoad {
-        let limit = self.service().map_or(0, |service| service.connections);
+        let view = self.node.view();
+        let service = view.rules.service_named(&self.name);
+        let limit = service.map_or(0, |service| service.connections);
         HostLoad {
             flows: self.flows(),
             limit,
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -3,11 +3,17 @@
 //! The decision uses the packet and the present view alone: there is no table
 //! of flows, so a balancer that has just started decides as all others do.
 
+use std::net::SocketAddrV4;
+
 use hyssopstair_wire::address::ProcessId;
 use hyssopstair_wire::entry::EntryPath;
 use hyssopstair_wire::packet::ForwardHeader;
+use hyssopstair_wire::packet::SecondHost;
+use hyssopstair_wire::time::MonotonicTime;
 use hyssopstair_wire::token::RouteToken;
 
+use crate::loads::LoadTable;
+use crate::placement::PlacementChoice;
 use crate::placement::place_flow;
 use crate::quic::QuicForm;
 use crate::quic::QuicHeader;
@@ -56,25 +62,52 @@
     TooManyHops,
 }
 
+impl DropReason {
+    /// All reasons, in their order.
+    pub const ALL: [Self; 9] = [
+        Self::Malformed,
+        Self::UnknownService,
+        Self::ForeignToken,
+        Self::WrongService,
+        Self::NoHost,
+        Self::HostGone,
+        Self::WrongIncarnation,
+        Self::Full,
+        Self::TooManyHops,
+    ];
+}
+
+/// What a balancer decides by.
+#[derive(Debug, Clone, Copy)]
+pub struct BalancerContext<'a> {
+    /// The inner address of the balancer.
+    pub address: SocketAddrV4,
+    /// Rules, keys and members.
+    pub view: &'a RoutingView,
+    /// What hosts have said of their load.
+    pub loads: &'a LoadTable,
+}
+
 /// Decides about one packet.
 pub fn route_packet<'a>(
-    view: &RoutingView,
-    balancer: std::net::SocketAddrV4,
+    context: &BalancerContext<'_>,
     path: &EntryPath,
     datagram: &'a [u8],
+    now: MonotonicTime,
 ) -> RouteAction<'a> {
+    let view = context.view;
     let Some(packet) = parse_header(datagram) else {
         return RouteAction::Drop(DropReason::Malformed);
     };
-    let Some(service) = view.rules.service_at(path.destination) else {
+    let Some(service) = view.service_at(path.destination) else {
         return RouteAction::Drop(DropReason::UnknownService);
     };
     let header = ForwardHeader {
-        service: service.id,
+        service,
         incarnation: None,
         caller: path.source,
         target: path.destination,
-        balancer,
+        balancer: context.address,
         second: None,
         hops: 0,
         version: view.version,
@@ -82,7 +115,7 @@
     };
     match RouteToken::open(&view.ring, packet.destination) {
         Ok(token) => route_token(view, header, &packet, &token),
-        Err(_) if packet.form == QuicForm::Opening => route_opening(view, header, &packet),
+        Err(_) if packet.form == QuicForm::Opening => route_opening(context, header, &packet, now),
         Err(_) => RouteAction::Drop(DropReason::ForeignToken),
     }
 }
@@ -114,20 +147,36 @@
 }
 
 fn route_opening<'a>(
-    view: &RoutingView,
+    context: &BalancerContext<'_>,
     header: ForwardHeader,
     packet: &QuicHeader<'a>,
+    now: MonotonicTime,
 ) -> RouteAction<'a> {
+    let view = context.view;
     let candidates = view.candidates(header.service);
     let choice = place_flow(candidates, packet.destination, view.placement_secret());
     let Some(choice) = choice else {
         return RouteAction::Drop(DropReason::NoHost);
     };
     RouteAction::Forward {
-        host: choice.first,
+        host: choice.first.host,
         header: ForwardHeader {
-            second: choice.second,
+            second: second_host(&choice, context.loads, now),
             ..header
         },
     }
 }
+
+fn second_host(
+    choice: &PlacementChoice,
+    loads: &LoadTable,
+    now: MonotonicTime,
+) -> Option<SecondHost> {
+    let second = choice.second?;
+    Some(SecondHost {
+        process: second.host,
+        weight: second.weight,
+        first_weight: choice.first.weight,
+        load: loads.recent(second.host, now),
+    })
+}
--- /dev/null
+++ b/crates/routing/src/gate.rs
@@ -0,0 +1,292 @@
+//! What a host does with a packet that it is sent.
+//!
+//! A packet of an open flow is taken if it names this life of this host. A
+//! packet that opens a flow is taken, or handed over once to the second host on
+//! the list, by the present load of the first.
+
+use std::time::Duration;
+
+use hyssopstair_wire::address::ProcessId;
+use hyssopstair_wire::address::ServiceId;
+use hyssopstair_wire::packet::ForwardHeader;
+use hyssopstair_wire::packet::LoadReport;
+use hyssopstair_wire::packet::MAX_HOPS;
+use hyssopstair_wire::packet::SecondHost;
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::balancer::DropReason;
+use crate::quic::QuicForm;
+use crate::quic::parse_header;
+use crate::shard::ShardSet;
+use crate::shard::TableFootprint;
+
+/// What a host does with a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostAction<'a> {
+    /// Hands it to its own flows.
+    Accept,
+    /// Sends it to another host.
+    PassOn {
+        /// The other host.
+        host: ProcessId,
+        /// The header to put before the packet.
+        header: ForwardHeader,
+    },
+    /// Tells the caller that the flow is gone.
+    Reset {
+        /// The connection ID of the packet.
+        connection: &'a [u8],
+    },
+    /// Does nothing.
+    Drop(DropReason),
+}
+
+/// How long a decision about a new flow is remembered.
+pub const OPENING_MEMORY: Duration = Duration::from_secs(30);
+
+/// Locks that the decisions about new flows are spread over.
+const OPENING_SHARDS: usize = 256;
+
+/// Longest connection ID of QUIC version 1, in bytes.
+const MAX_CONNECTION_LENGTH: usize = 20;
+
+/// The load of a host at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostLoad {
+    /// Open flows.
+    pub flows: u32,
+    /// Most flows that the rules allow.
+    pub limit: u32,
+    /// Whether the host takes nothing new.
+    pub draining: bool,
+}
+
+impl HostLoad {
+    /// Returns whether the host takes new flows.
+    pub fn takes_new(&self) -> bool {
+        !self.draining && self.flows < self.limit
+    }
+
+    /// Returns what the host tells balancers.
+    pub fn report(&self) -> LoadReport {
+        LoadReport {
+            flows: self.flows,
+            takes_new: self.takes_new(),
+        }
+    }
+}
+
+/// How much busier than the second a host must be to hand a flow over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HandoverMargin {
+    /// Flows more than the second has.
+    pub flows: u32,
+    /// And percent more than the second has.
+    pub percent: u32,
+}
+
+impl Default for HandoverMargin {
+    fn default() -> Self {
+        Self {
+            flows: 1,
+            percent: 0,
+        }
+    }
+}
+
+/// The start of the connection ID that a caller chose for its first packets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct OpeningKey {
+    length: u8,
+    bytes: [u8; MAX_CONNECTION_LENGTH],
+}
+
+impl OpeningKey {
+    fn new(connection: &[u8]) -> Self {
+        let length = connection.len().min(MAX_CONNECTION_LENGTH);
+        let mut bytes = [0; MAX_CONNECTION_LENGTH];
+        bytes[..length].copy_from_slice(&connection[..length]);
+        Self {
+            length: length as u8,
+            bytes,
+        }
+    }
+}
+
+/// A decision about a new flow, kept for the length of its handshake.
+#[derive(Debug, Clone, Copy)]
+struct OpeningRecord {
+    key: OpeningKey,
+    passed_to: Option<ProcessId>,
+    decided: MonotonicTime,
+}
+
+#[derive(Debug, Default)]
+struct OpeningShard {
+    records: Vec<OpeningRecord>,
+    pruned: MonotonicTime,
+}
+
+/// The decisions of one host about packets.
+#[derive(Debug)]
+pub struct HostGate {
+    me: ProcessId,
+    service: ServiceId,
+    margin: HandoverMargin,
+    openings: ShardSet<OpeningShard>,
+}
+
+impl HostGate {
+    /// Creates the gate of the host `me`.
+    pub fn new(me: ProcessId, service: ServiceId) -> Self {
+        Self::with_margin(me, service, HandoverMargin::default())
+    }
+
+    /// Creates a gate that hands over by another margin.
+    pub fn with_margin(me: ProcessId, service: ServiceId, margin: HandoverMargin) -> Self {
+        Self {
+            me,
+            service,
+            margin,
+            openings: ShardSet::new(OPENING_SHARDS),
+        }
+    }
+
+    /// Decides about one packet.
+    pub fn receive<'a>(
+        &self,
+        header: &ForwardHeader,
+        datagram: &'a [u8],
+        load: &HostLoad,
+        now: MonotonicTime,
+    ) -> HostAction<'a> {
+        if header.service != self.service {
+            return HostAction::Drop(DropReason::WrongService);
+        }
+        let Some(packet) = parse_header(datagram) else {
+            return HostAction::Drop(DropReason::Malformed);
+        };
+        match header.incarnation {
+            Some(incarnation) if incarnation == self.me.incarnation => HostAction::Accept,
+            // The address had an earlier process: its flows died with it.
+            Some(incarnation)
+                if incarnation < self.me.incarnation && packet.form == QuicForm::Short =>
+            {
+                HostAction::Reset {
+                    connection: packet.destination,
+                }
+            }
+            Some(_) => HostAction::Drop(DropReason::WrongIncarnation),
+            None if header.hops >= MAX_HOPS => HostAction::Drop(DropReason::TooManyHops),
+            None => self.receive_opening(header, packet.destination, load, now),
+        }
+    }
+
+    /// Returns what the remembered decisions take.
+    pub fn footprint(&self) -> TableFootprint {
+        let mut footprint = TableFootprint::default();
+        self.openings.for_each(|shard| {
+            footprint.records += shard.records.len();
+            footprint.bytes += shard.records.capacity() * size_of::<OpeningRecord>();
+        });
+        footprint
+    }
+
+    fn receive_opening<'a>(
+        &self,
+        header: &ForwardHeader,
+        connection: &[u8],
+        load: &HostLoad,
+        now: MonotonicTime,
+    ) -> HostAction<'a> {
+        let key = OpeningKey::new(connection);
+        let mut shard = self.openings.lock(&key.bytes);
+        shard.prune(now);
+        let found = shard
+            .records
+            .binary_search_by_key(&key, |record| record.key);
+        let index = match found {
+            Ok(index) => index,
+            Err(index) => {
+                let passed_to = match decide_opening(header, load, self.margin) {
+                    OpeningVerdict::Take => None,
+                    OpeningVerdict::HandOver(host) => Some(host),
+                    OpeningVerdict::Refuse => return HostAction::Drop(DropReason::Full),
+                };
+                let record = OpeningRecord {
+                    key,
+                    passed_to,
+                    decided: now,
+                };
+                shard.records.insert(index, record);
+                index
+            }
+        };
+        pass_or_accept(header, shard.records[index].passed_to)
+    }
+}
+
+impl OpeningShard {
+    fn prune(&mut self, now: MonotonicTime) {
+        if now.since(self.pruned) < OPENING_MEMORY / 8 {
+            return;
+        }
+        self.pruned = now;
+        self.records
+            .retain(|record| now.since(record.decided) < OPENING_MEMORY);
+    }
+}
+
+/// What becomes of a new flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OpeningVerdict {
+    Take,
+    HandOver(ProcessId),
+    Refuse,
+}
+
+fn decide_opening(
+    header: &ForwardHeader,
+    load: &HostLoad,
+    margin: HandoverMargin,
+) -> OpeningVerdict {
+    let second = header.second.filter(may_take_new);
+    match second {
+        Some(second) if !load.takes_new() => OpeningVerdict::HandOver(second.process),
+        Some(second) if is_busier(load, &second, margin) => {
+            OpeningVerdict::HandOver(second.process)
+        }
+        _ if load.takes_new() => OpeningVerdict::Take,
+        _ => OpeningVerdict::Refuse,
+    }
+}
+
+/// Returns whether nothing is known that speaks against a host.
+fn may_take_new(second: &SecondHost) -> bool {
+    second.load.is_none_or(|report| report.takes_new)
+}
+
+/// Compares flows by weight. A second of unknown load is left alone.
+fn is_busier(load: &HostLoad, second: &SecondHost, margin: HandoverMargin) -> bool {
+    let Some(report) = second.load else {
+        return false;
+    };
+    let allowed = u64::from(report.flows) * u64::from(100 + margin.percent) / 100;
+    let allowed = allowed + u64::from(margin.flows);
+    let own = u64::from(load.flows) * u64::from(second.weight);
+    own > allowed * u64::from(second.first_weight)
+}
+
+fn pass_or_accept<'a>(header: &ForwardHeader, passed_to: Option<ProcessId>) -> HostAction<'a> {
+    let Some(host) = passed_to else {
+        return HostAction::Accept;
+    };
+    HostAction::PassOn {
+        host,
+        header: ForwardHeader {
+            second: None,
+            hops: header.hops + 1,
+            ..*header
+        },
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,11 +2,16 @@
 //! with one that it is sent.
 //!
 //! Nothing here opens a socket or reads a clock. Start with [`balancer`] for
-//! the way from callers to hosts, and [`host`] for what a host accepts.
+//! the way from callers to hosts, [`gate`] for what a host accepts, and
+//! [`returns`] for the way back.
 
 pub mod balancer;
-pub mod host;
+pub mod counts;
+pub mod gate;
+pub mod loads;
 pub mod placement;
 pub mod quic;
 pub mod reset;
+pub mod returns;
+pub mod shard;
 pub mod view;
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -23,9 +23,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacementChoice {
     /// The host that decides about the flow.
-    pub first: ProcessId,
+    pub first: PlacementCandidate,
     /// The host that it may hand the flow over to.
-    pub second: Option<ProcessId>,
+    pub second: Option<PlacementCandidate>,
 }
 
 /// Chooses the first two hosts for the flow that `key` names, or nothing when
@@ -35,23 +35,42 @@
     key: &[u8],
     secret: &[u8; 16],
 ) -> Option<PlacementChoice> {
-    let mut first: Option<(f64, ProcessId)> = None;
-    let mut second: Option<(f64, ProcessId)> = None;
+    let mut first: Option<ScoredCandidate> = None;
+    let mut second: Option<ScoredCandidate> = None;
     for candidate in candidates.iter().filter(|item| item.weight > 0) {
-        let scored = (score(candidate, key, secret), candidate.host);
-        if first.is_none_or(|best| scored > best) {
+        let scored = ScoredCandidate {
+            score: score(candidate, key, secret),
+            candidate: *candidate,
+        };
+        if scored.beats(first.as_ref()) {
             second = first;
             first = Some(scored);
-        } else if second.is_none_or(|best| scored > best) {
+        } else if scored.beats(second.as_ref()) {
             second = Some(scored);
         }
     }
     Some(PlacementChoice {
-        first: first?.1,
-        second: second.map(|(_, host)| host),
+        first: first?.candidate,
+        second: second.map(|scored| scored.candidate),
     })
 }
 
+#[derive(Debug, Clone, Copy)]
+struct ScoredCandidate {
+    score: f64,
+    candidate: PlacementCandidate,
+}
+
+impl ScoredCandidate {
+    /// Returns whether this one goes before `other`; of equal scores, the
+    /// higher process goes first.
+    fn beats(&self, other: Option<&Self>) -> bool {
+        other.is_none_or(|other| {
+            (self.score, self.candidate.host) > (other.score, other.candidate.host)
+        })
+    }
+}
+
 fn score(candidate: &PlacementCandidate, key: &[u8], secret: &[u8; 16]) -> f64 {
     let mut hasher = SipHasher13::new_with_key(secret);
     hasher.write(&candidate.host.address.ip().octets());
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -13,6 +13,7 @@
 use hyssopstair_wire::control::MemberState;
 use hyssopstair_wire::token::FleetSecret;
 use hyssopstair_wire::token::KeyRing;
+use hyssopstair_wire::token::SECRET_LENGTH;
 
 use crate::placement::PlacementCandidate;
 
@@ -31,6 +32,13 @@
     gone: bool,
 }
 
+/// The service that callers reach at one address.
+#[derive(Debug, Clone, Copy)]
+struct ServiceAddress {
+    address: SocketAddrV4,
+    service: ServiceId,
+}
+
 /// Rules, keys and members at one moment.
 #[derive(Debug, Clone)]
 pub struct RoutingView {
@@ -40,7 +48,9 @@
     pub rules: Arc<RuleSet>,
     /// The route keys that are honoured.
     pub ring: KeyRing,
-    placement_secret: [u8; 16],
+    placement_secret: [u8; SECRET_LENGTH],
+    reset_secret: [u8; SECRET_LENGTH],
+    addresses: Vec<ServiceAddress>,
     hosts: Vec<ServiceHosts>,
     processes: Vec<KnownProcess>,
 }
@@ -56,16 +66,28 @@
         let ring = KeyRing::derive(secret, &rules.keys);
         let hosts = group_hosts(&rules, members);
         let processes = members.iter().map(known_process).collect();
+        let addresses = sort_addresses(&rules);
         Self {
             version,
             rules,
             ring,
             placement_secret: secret.derive(b"placement"),
+            reset_secret: secret.derive(b"reset"),
+            addresses,
             hosts,
             processes,
         }
     }
 
+    /// Returns the service that callers reach at an address.
+    pub fn service_at(&self, address: SocketAddrV4) -> Option<ServiceId> {
+        let index = self
+            .addresses
+            .binary_search_by_key(&address, |item| item.address)
+            .ok()?;
+        Some(self.addresses[index].service)
+    }
+
     /// Returns the hosts of a service that may take new flows.
     pub fn candidates(&self, service: ServiceId) -> &[PlacementCandidate] {
         match self
@@ -78,10 +100,15 @@
     }
 
     /// Returns the secret that goes into the placement of flows.
-    pub fn placement_secret(&self) -> &[u8; 16] {
+    pub fn placement_secret(&self) -> &[u8; SECRET_LENGTH] {
         &self.placement_secret
     }
 
+    /// Returns the secret of reset tokens.
+    pub fn reset_secret(&self) -> &[u8; SECRET_LENGTH] {
+        &self.reset_secret
+    }
+
     /// Returns whether a process is known to be there no longer.
     pub fn is_gone(&self, process: ProcessId) -> bool {
         let found = self
@@ -96,6 +123,19 @@
     }
 }
 
+fn sort_addresses(rules: &RuleSet) -> Vec<ServiceAddress> {
+    let mut addresses: Vec<_> = rules
+        .services
+        .iter()
+        .map(|service| ServiceAddress {
+            address: service.address,
+            service: service.id,
+        })
+        .collect();
+    addresses.sort_unstable_by_key(|item| item.address);
+    addresses
+}
+
 fn known_process(entry: &MemberEntry) -> KnownProcess {
     KnownProcess {
         address: entry.process.address,
--- /dev/null
+++ b/crates/routing/tests/gate.rs
@@ -0,0 +1,185 @@
+//! What a host does with each kind of packet.
+
+mod fixture;
+
+use expect_test::expect;
+use fixture::DIPLOMAKLUIS;
+use fixture::LEERPLEIN;
+use hyssopstair_routing::gate::HandoverMargin;
+use hyssopstair_routing::gate::HostAction;
+use hyssopstair_routing::gate::HostGate;
+use hyssopstair_routing::gate::HostLoad;
+use hyssopstair_wire::address::HostIncarnation;
+use hyssopstair_wire::packet::ForwardHeader;
+use hyssopstair_wire::packet::LoadReport;
+use hyssopstair_wire::packet::SecondHost;
+use hyssopstair_wire::time::MonotonicTime;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(1_000);
+
+fn gate() -> HostGate {
+    let margin = HandoverMargin {
+        flows: 4,
+        percent: 0,
+    };
+    HostGate::with_margin(fixture::process(1, 5), LEERPLEIN, margin)
+}
+
+fn load(flows: u32) -> HostLoad {
+    HostLoad {
+        flows,
+        limit: 100,
+        draining: false,
+    }
+}
+
+fn draining() -> HostLoad {
+    HostLoad {
+        draining: true,
+        ..load(0)
+    }
+}
+
+/// A header whose second host has the given load.
+fn opening(second: Option<LoadReport>) -> ForwardHeader {
+    ForwardHeader {
+        second: Some(SecondHost {
+            process: fixture::process(2, 5),
+            weight: 100,
+            first_weight: 100,
+            load: second,
+        }),
+        ..fixture::header(LEERPLEIN)
+    }
+}
+
+fn report(flows: u32) -> Option<LoadReport> {
+    Some(LoadReport {
+        flows,
+        takes_new: true,
+    })
+}
+
+fn show(action: &HostAction<'_>) -> String {
+    match action {
+        HostAction::Accept => "accept".to_owned(),
+        HostAction::PassOn { host, header } => {
+            format!("pass on to {host}, hops {}", header.hops)
+        }
+        HostAction::Reset { .. } => "reset".to_owned(),
+        HostAction::Drop(reason) => format!("drop {reason:?}"),
+    }
+}
+
+#[test]
+fn packets_of_open_flows() {
+    let gate = gate();
+    let token = fixture::seal(1, LEERPLEIN, fixture::process(1, 5), 1);
+    let short = fixture::short_packet(&token);
+    let handshake = fixture::handshake_packet(&token);
+    let mut lines = Vec::new();
+    let mut case = |name: &str, incarnation: u32, service, datagram: &[u8]| {
+        let header = ForwardHeader {
+            incarnation: Some(HostIncarnation(incarnation)),
+            ..fixture::header(service)
+        };
+        let action = gate.receive(&header, datagram, &draining(), NOW);
+        lines.push(format!("{name}: {}", show(&action)));
+    };
+    case("this life, while draining", 5, LEERPLEIN, &short);
+    case("earlier life", 4, LEERPLEIN, &short);
+    case("earlier life, handshake", 4, LEERPLEIN, &handshake);
+    case("later life", 6, LEERPLEIN, &short);
+    case("another service", 5, DIPLOMAKLUIS, &short);
+    case("no QUIC", 5, LEERPLEIN, &[0x40]);
+    expect![[r#"
+        this life, while draining: accept
+        earlier life: reset
+        earlier life, handshake: drop WrongIncarnation
+        later life: drop WrongIncarnation
+        another service: drop WrongService
+        no QUIC: drop Malformed"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn packets_that_open_flows() {
+    let mut lines = Vec::new();
+    let mut case = |name: &str, header: &ForwardHeader, load: HostLoad| {
+        let packet = fixture::initial_packet(name.as_bytes());
+        let gate = gate();
+        let action = show(&gate.receive(header, &packet, &load, NOW));
+        lines.push(format!("{name}: {action}"));
+    };
+    let alone = fixture::header(LEERPLEIN);
+    case("alone", &alone, load(99));
+    case("alone, full", &alone, load(100));
+    case("alone, draining", &alone, draining());
+    case("second unknown", &opening(None), load(99));
+    case("within the margin", &opening(report(10)), load(14));
+    case("over the margin", &opening(report(10)), load(15));
+    case("full", &opening(report(100)), load(100));
+    case("draining", &opening(None), draining());
+    let closed = LoadReport {
+        flows: 0,
+        takes_new: false,
+    };
+    case("second closed", &opening(Some(closed)), load(50));
+    case("both closed", &opening(Some(closed)), draining());
+    let passed = ForwardHeader { hops: 1, ..alone };
+    case("passed on", &passed, load(99));
+    case("passed on, full", &passed, load(100));
+    case(
+        "passed on twice",
+        &ForwardHeader { hops: 2, ..alone },
+        load(0),
+    );
+    case("another service", &fixture::header(DIPLOMAKLUIS), load(0));
+    let mut half = opening(report(10));
+    half.second.as_mut().unwrap().weight = 50;
+    case("second of half the weight", &half, load(28));
+    case("over half the weight", &half, load(29));
+    expect![[r#"
+        alone: accept
+        alone, full: drop Full
+        alone, draining: drop Full
+        second unknown: accept
+        within the margin: accept
+        over the margin: pass on to 10.1.0.2:7000/5, hops 1
+        full: pass on to 10.1.0.2:7000/5, hops 1
+        draining: pass on to 10.1.0.2:7000/5, hops 1
+        second closed: accept
+        both closed: drop Full
+        passed on: accept
+        passed on, full: drop Full
+        passed on twice: drop TooManyHops
+        another service: drop WrongService
+        second of half the weight: accept
+        over half the weight: pass on to 10.1.0.2:7000/5, hops 1"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+/// All packets of a handshake follow its first one, whatever the load does.
+#[test]
+fn decision_is_remembered_for_the_handshake() {
+    let gate = gate();
+    let packet = fixture::initial_packet(b"caller-1");
+    let mut lines = Vec::new();
+    let mut at = |millis: u64, header: &ForwardHeader, load: HostLoad| {
+        let now = MonotonicTime::from_millis(millis);
+        let action = gate.receive(header, &packet, &load, now);
+        lines.push(format!("{millis} ms: {}", show(&action)));
+    };
+    at(1_000, &opening(report(0)), load(50));
+    at(1_500, &opening(report(99)), load(0));
+    at(20_000, &opening(None), load(0));
+    at(40_000, &opening(None), load(0));
+    at(40_500, &opening(report(0)), draining());
+    expect![[r#"
+        1000 ms: pass on to 10.1.0.2:7000/5, hops 1
+        1500 ms: pass on to 10.1.0.2:7000/5, hops 1
+        20000 ms: pass on to 10.1.0.2:7000/5, hops 1
+        40000 ms: accept
+        40500 ms: accept"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- /dev/null
+++ b/crates/routing/tests/returns.rs
@@ -0,0 +1,77 @@
+//! Which balancer an answer goes through.
+
+mod fixture;
+
+use expect_test::expect;
+use hyssopstair_routing::returns::MAX_BALANCERS;
+use hyssopstair_routing::returns::ReturnTable;
+use hyssopstair_wire::packet::ForwardHeader;
+use hyssopstair_wire::time::MonotonicTime;
+
+fn hear(table: &ReturnTable, caller: u16, balancer: u8, millis: u64) {
+    let header = ForwardHeader {
+        caller: fixture::address(&format!("192.0.2.7:{caller}")),
+        balancer: fixture::address(&format!("10.2.0.{balancer}:7000")),
+        ..fixture::header(fixture::LEERPLEIN)
+    };
+    table.hear(&header, MonotonicTime::from_millis(millis));
+}
+
+/// Shows the balancers of four answers, by their last number.
+fn answers(table: &ReturnTable, caller: u16, millis: u64) -> String {
+    let caller = fixture::address(&format!("192.0.2.7:{caller}"));
+    let now = MonotonicTime::from_millis(millis);
+    let ways: Vec<String> = (0..4)
+        .map(|_| match table.route(caller, now) {
+            Some(route) => route.balancer.ip().octets()[3].to_string(),
+            None => "none".to_owned(),
+        })
+        .collect();
+    format!("{millis} ms: {}", ways.join(" "))
+}
+
+#[test]
+fn answers_leave_a_quiet_balancer() {
+    let table = ReturnTable::default();
+    hear(&table, 5_000, 1, 1_000);
+    hear(&table, 5_001, 2, 1_000);
+    hear(&table, 5_002, 3, 1_000);
+    let mut lines = vec![answers(&table, 5_000, 1_300)];
+    // Balancer 1 is quiet, the others are not.
+    hear(&table, 5_001, 2, 1_400);
+    hear(&table, 5_002, 3, 1_400);
+    lines.push(answers(&table, 5_000, 1_500));
+    // All are quiet: the callers may be silent.
+    lines.push(answers(&table, 5_000, 3_000));
+    // The caller is heard through another balancer.
+    hear(&table, 5_000, 3, 3_100);
+    lines.push(answers(&table, 5_000, 3_200));
+    table.lose_balancer(fixture::address("10.2.0.3:7000"));
+    lines.push(answers(&table, 5_000, 3_200));
+    lines.push(answers(&table, 6_000, 3_200));
+    expect![[r#"
+        1300 ms: 1 1 1 1
+        1500 ms: 2 3 2 3
+        3000 ms: 2 3 1 2
+        3200 ms: 3 3 3 3
+        3200 ms: 1 2 1 2
+        3200 ms: none none none none"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn memory_of_balancers_is_bounded() {
+    let table = ReturnTable::default();
+    for balancer in 1..=200 {
+        hear(&table, 5_000, balancer, u64::from(balancer));
+    }
+    let caller = fixture::address("192.0.2.7:5000");
+    let mut ways: Vec<_> = (0..500)
+        .filter_map(|_| table.route(caller, MonotonicTime::from_millis(10_000)))
+        .map(|route| route.balancer.ip().octets()[3])
+        .collect();
+    ways.sort_unstable();
+    ways.dedup();
+    let latest: Vec<u8> = (201 - MAX_BALANCERS as u8..=200).collect();
+    assert_eq!(ways, latest);
+}
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -60,6 +60,28 @@
     pub span: [u8; 8],
 }
 
+/// How busy a host is, by its own count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Open flows.
+    pub flows: u32,
+    /// Whether the host takes new flows.
+    pub takes_new: bool,
+}
+
+/// The host that the first host for a flow may hand it over to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SecondHost {
+    /// The host.
+    pub process: ProcessId,
+    /// Its share of new flows, relative to other hosts of the service.
+    pub weight: u16,
+    /// The share of the first host.
+    pub first_weight: u16,
+    /// Its load, when the balancer has heard of it lately.
+    pub load: Option<LoadReport>,
+}
+
 /// Header of a datagram on its way to a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardHeader {
@@ -75,7 +97,7 @@
     /// The balancer that received the datagram.
     pub balancer: SocketAddrV4,
     /// Where a packet that opens a flow may be handed over to.
-    pub second: Option<ProcessId>,
+    pub second: Option<SecondHost>,
     /// Hosts that the datagram has passed through.
     pub hops: u8,
     /// The highest configuration version that the sender knows.
@@ -89,6 +111,10 @@
 pub struct ReturnHeader {
     /// The service that answers.
     pub service: ServiceId,
+    /// The host that answers.
+    pub host: ProcessId,
+    /// The load of the host.
+    pub load: LoadReport,
     /// The caller.
     pub caller: SocketAddrV4,
     /// The address that the caller sent to.
