--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -76,8 +76,9 @@
     }
 }
 
-/// How much busier than the second a host must be to hand a flow over.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// How much busier than the second a host must be to hand a flow over. By
+/// default one flow more is enough.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct HandoverMargin {
     /// Flows more than the second has.
     pub flows: u32,
@@ -85,15 +86,6 @@
     pub percent: u32,
 }
 
-impl Default for HandoverMargin {
-    fn default() -> Self {
-        Self {
-            flows: 1,
-            percent: 0,
-        }
-    }
-}
-
 /// The start of the connection ID that a caller chose for its first packets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct OpeningKey {
@@ -177,7 +169,7 @@
                 }
             }
             Some(_) => HostAction::Drop(DropReason::WrongIncarnation),
-            None if header.hops >= MAX_HOPS => HostAction::Drop(DropReason::TooManyHops),
+            None if header.hops > MAX_HOPS => HostAction::Drop(DropReason::TooManyHops),
             None => self.receive_opening(header, packet.destination, load, now),
         }
     }
