--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -15,6 +15,7 @@
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_roster::versions::ConfigState;
 use hyssopstair_roster::versions::OfferResult;
+use hyssopstair_routing::counts::PacketCounts;
 use hyssopstair_routing::view::RoutingView;
 use hyssopstair_rules::settings::DaemonSettings;
 use hyssopstair_rules::settings::RoleSettings;
@@ -51,6 +52,8 @@
     pub socket: Arc<UdpSocket>,
     /// The secret of the fleet.
     pub secret: FleetSecret,
+    /// Counts of packets.
+    pub counts: PacketCounts,
     /// The name of the service, for a host.
     pub service_name: Option<String>,
     zone_name: String,
@@ -98,6 +101,7 @@
             clock: ProcessClock::start(),
             socket: Arc::new(socket),
             secret,
+            counts: PacketCounts::default(),
             service_name,
             zone_name: settings.zone.clone(),
             address: me.address,
