Read rule files of 8,700 services in linear time and refuse overriding rules

Cause: each rule looked its service up by a scan, and each service was compared with all others, so reading grew with the square of the services (example rule_cost of the package hyssopstair-platform). A second limit, deadline or weight silently overrode the first, which would lose an update when two operators add one each. A mistake's hint never named the word that was meant.

Ruled out: hash maps (house style); an ordered insertion for each service (moves the vector each time when names are not in order).

Change: declarations are read first and sorted; uses look them up by binary search. Look-ups by name and address have sorted indexes. Overriding rules, weight 0 in all zones and limits of no slots are errors. Hints name the nearest known word. New rule "withdraw SERVICE". Columns count characters at the end of a line too, as they did for words.

--- a/crates/hyssopstaird/src/host/state.rs
+++ b/crates/hyssopstaird/src/host/state.rs
@@ -11,7 +11,7 @@
 use hyssopstair_routing::host::HostGate;
 use hyssopstair_routing::host::HostLoad;
 use hyssopstair_routing::host::ReturnTable;
-use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_rules::service_rule::ServiceRule;
 use hyssopstair_rules::settings::HostSettings;
 use hyssopstair_wire::address::ServiceId;
 
@@ -109,8 +109,11 @@
 
     /// Returns whether the host takes nothing new.
     pub fn is_draining(&self) -> bool {
-        let drained_by_rule = self.node.view().rules.is_drained(self.node.me().address);
-        drained_by_rule || self.draining.load(Ordering::Relaxed)
+        let rules = self.node.view().rules.clone();
+        let takes_new = rules
+            .service_named(&self.name)
+            .is_none_or(|service| rules.takes_new(service.id, self.node.me().address));
+        !takes_new || self.draining.load(Ordering::Relaxed)
     }
 
     /// Takes nothing new from now on.
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -136,7 +136,7 @@
     // A suspect keeps its place: moving flows on a mere suspicion would part
     // the packets of handshakes, and a suspect that is alive has lost nothing.
     let takes_new = matches!(entry.state, MemberState::Alive | MemberState::Suspect);
-    if !takes_new || rules.is_drained(entry.process.address) {
+    if !takes_new || !rules.takes_new(service, entry.process.address) {
         return None;
     }
     let zone_weight = rules.service(service)?.weight(zone);
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -5,8 +5,11 @@
 //! to process is in its settings file. Start with [`rule`] for the rules, and
 //! [`settings`] for the settings.
 
+pub(crate) mod builder;
 pub mod error;
+pub mod hint;
 pub mod line;
 pub mod rule;
 pub mod rule_set;
+pub mod service_rule;
 pub mod settings;
--- a/crates/rules/src/line.rs
+++ b/crates/rules/src/line.rs
@@ -33,13 +33,25 @@
         };
         Self {
             number,
-            end: rule.trim_end().len() + 1,
+            end: rule.trim_end().chars().count() + 1,
             words: split_words(rule),
             next: 0,
             comment,
         }
     }
 
+    /// Returns the number of the line, from 1.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
+    /// Returns the column of the word at `position`, from 0, or of the end.
+    pub fn column(&self, position: usize) -> usize {
+        self.words
+            .get(position)
+            .map_or(self.end, |word| word.column)
+    }
+
     /// Returns whether the line holds no rule.
     pub fn is_blank(&self) -> bool {
         self.words.is_empty()
--- a/crates/rules/src/rule.rs
+++ b/crates/rules/src/rule.rs
@@ -9,15 +9,18 @@
 //! | `deadline SERVICE MILLISECONDS` | longest time of one request |
 //! | `idempotent SERVICE METHOD PREFIX` | requests that may be run again |
 //! | `stream SERVICE PREFIX` | paths whose answers last: no slot, no deadline |
+//! | `withdraw SERVICE` | no host takes new flows of the service |
 //! | `drain IP:PORT` | the host with this inner address takes nothing new |
 //! | `key N` | a route key; the highest seals, the others are honoured |
 
 use std::net::SocketAddrV4;
+use std::num::NonZeroU16;
 
 use hyssopstair_wire::address::ServiceId;
 use hyssopstair_wire::token::KeyNumber;
 
 use crate::error::RuleError;
+use crate::hint::nearest_word;
 use crate::line::LineWord;
 use crate::line::RuleLine;
 
@@ -83,6 +86,11 @@
         /// The start of the path.
         prefix: String,
     },
+    /// A service that takes nothing new.
+    Withdraw {
+        /// The name of the service.
+        service: String,
+    },
     /// A host that takes nothing new.
     Drain {
         /// The inner address of the host.
@@ -95,9 +103,19 @@
     },
 }
 
-/// The first words of all rules, for hints.
-const RULE_WORDS: &str =
-    "service, zone, weight, limit, deadline, idempotent, stream, drain and key are rules";
+/// The first words of all rules.
+const RULE_WORDS: [&str; 10] = [
+    "service",
+    "zone",
+    "weight",
+    "limit",
+    "deadline",
+    "idempotent",
+    "stream",
+    "withdraw",
+    "drain",
+    "key",
+];
 
 impl Rule {
     /// Reads the rule of a line.
@@ -124,17 +142,28 @@
             "deadline" => parse_deadline(line),
             "idempotent" => parse_idempotent(line),
             "stream" => parse_stream(line),
+            "withdraw" => Ok(Self::Withdraw {
+                service: line.expect_value("a service name")?,
+            }),
             "drain" => Ok(Self::Drain {
                 host: line.expect_value("an address as IP:PORT")?,
             }),
             "key" => Ok(Self::Key {
                 number: KeyNumber(line.expect_value("a key number from 0 to 255")?),
             }),
-            other => Err(line.error(word, format!("unknown rule \"{other}\""), RULE_WORDS)),
+            other => Err(unknown_rule(line, word, other)),
         }
     }
 }
 
+fn unknown_rule(line: &RuleLine<'_>, word: LineWord<'_>, text: &str) -> RuleError {
+    let hint = match nearest_word(text, RULE_WORDS.into_iter()) {
+        Some(near) => format!("did you mean \"{near}\"?"),
+        None => format!("the rules are {}", RULE_WORDS.join(", ")),
+    };
+    line.error(word, format!("unknown rule \"{text}\""), &hint)
+}
+
 fn expect_label(line: &mut RuleLine<'_>, label: &str) -> Result<(), RuleError> {
     let word = line.expect(&format!("\"{label}\""))?;
     if word.text == label {
@@ -179,7 +208,7 @@
 fn parse_limit(line: &mut RuleLine<'_>) -> Result<Rule, RuleError> {
     Ok(Rule::Limit {
         service: line.expect_value("a service name")?,
-        slots: labelled(line, "slots", "a number from 1 to 65535")?,
+        slots: labelled::<NonZeroU16>(line, "slots", "a number from 1 to 65535")?.get(),
         connections: labelled(line, "connections", "a number of flows")?,
         queue: labelled(line, "queue", "a number from 0 to 65535")?,
     })
--- /dev/null
+++ b/crates/rules/tests/rule_lookup.rs
@@ -0,0 +1,58 @@
+//! Rules are found by name, number and address.
+
+mod support;
+
+use expect_test::expect;
+use hyssopstair_rules::rule_set::RuleSet;
+use hyssopstair_wire::address::ServiceId;
+
+use support::with_lines;
+
+#[test]
+fn a_service_is_found_by_number_name_and_address() {
+    let rules = RuleSet::parse(&with_lines("")).expect("valid rules");
+    let found = [
+        rules.service(ServiceId(2)),
+        rules.service_named("leerplein"),
+        rules.service_at("127.1.0.11:4433".parse().expect("address")),
+        rules.service_named("specdesk"),
+    ]
+    .map(|service| service.map(|service| service.name.as_str()));
+    expect![[r#"
+        [
+            Some(
+                "diplomakluis",
+            ),
+            Some(
+                "leerplein",
+            ),
+            Some(
+                "diplomakluis",
+            ),
+            None,
+        ]
+    "#]]
+    .assert_debug_eq(&found);
+}
+
+#[test]
+fn a_withdrawn_service_and_a_drained_host_take_nothing_new() {
+    let rules = RuleSet::parse(&with_lines(
+        "withdraw leerplein  # A. Visser\ndrain 127.1.3.1:7000  # A. Visser\n",
+    ))
+    .expect("valid rules");
+    let host = |text: &str| text.parse().expect("address");
+    let found = [
+        rules.takes_new(ServiceId(1), host("127.1.2.1:7000")),
+        rules.takes_new(ServiceId(2), host("127.1.3.1:7000")),
+        rules.takes_new(ServiceId(2), host("127.1.3.2:7000")),
+    ];
+    expect![[r#"
+        [
+            false,
+            false,
+            true,
+        ]
+    "#]]
+    .assert_debug_eq(&found);
+}
