Make changes of the configuration safe against races and lost answers

Cause: apply wrote the whole file over what was there, so of two operators who edited the same version the later one undid the other's change without a word; a write whose answer was lost was reported as failed although it may have taken effect, and a compare-and-swap that the client tried at a second URL could be reported as refused although its first attempt took effect.

Ruled out: locks under leases (a holder that pauses keeps others out, and one that lapses has no right to write); a change ID for the last change only (a change that is followed by another is no longer found).

Change: the decisions are a state machine in the package hyssopstair-platform (change.rs). Edits name the version that they started from and are merged line by line; records name their last 64 changes; a lost write is sent again as it was while its revision stands, and is void once the revision has moved. Each write holds the version key and the history too, in one transaction. "accepted" needs confirmations of a stated set; unconfirmed and unsettled changes have exit codes of their own. The rule text is packed. Daemons poll the small version key at the fleet's fixed rate, and ask one peer at a time instead of one task a packet.

--- a/crates/hyssopstair/src/commands/apply.rs
+++ b/crates/hyssopstair/src/commands/apply.rs
@@ -1,14 +1,18 @@
 //! `hyssopstair apply FILE`: puts a rule file in force.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use argh::FromArgs;
 use error_stack::Report;
 
 use crate::error::CommandError;
-use crate::ops::apply::ApplyPlan;
-use crate::ops::apply::apply_rules;
-use crate::ops::rule_file::read_rules;
+use crate::ops::apply::split_version_line;
+use crate::ops::apply::text_intent;
+use crate::ops::change::ChangePlan;
+use crate::ops::change::make_change;
+use crate::ops::rule_file::check_text;
+use crate::ops::rule_file::read_text;
 use crate::ops::runtime::block_on;
 use crate::shell::PersonShell;
 
@@ -25,10 +29,20 @@
     #[argh(option)]
     pub confirm: Vec<String>,
 
-    /// longest wait for confirmations, in seconds
+    /// admin address of a daemon; all balancers that it knows must confirm the
+    /// version, where no --confirm is given
+    #[argh(option)]
+    pub daemon: Vec<String>,
+
+    /// longest wait for the platform, and for confirmations, in seconds
     #[argh(option, default = "16")]
     pub wait: u64,
 
+    /// version that the file was edited from; the file's first line names it
+    /// too, if it stems from `show`
+    #[argh(option)]
+    pub base: Option<u64>,
+
     /// path of the rule file
     #[argh(positional)]
     pub file: PathBuf,
@@ -38,20 +52,21 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the file has mistakes, the platform does not take it,
-/// or a daemon does not confirm it in time.
+/// Returns an error when the file has mistakes, another operator changed the
+/// same lines, the platform does not take it, or it is not confirmed in time.
 pub fn exec(args: &ApplyArgs, shell: &mut PersonShell) -> Result<(), Report<CommandError>> {
-    let file = read_rules(&args.file)?;
-    let plan = ApplyPlan {
+    let plan = ChangePlan {
         platform: args.platform.clone(),
         confirm: args.confirm.clone(),
-        wait: std::time::Duration::from_secs(args.wait),
-        text: file.text,
+        daemons: args.daemon.clone(),
+        wait: Duration::from_secs(args.wait),
     };
-    let version = block_on(apply_rules(&plan))??;
-    shell.line(format!(
-        "accepted: version {version}, confirmed by {} daemons",
-        plan.confirm.len()
-    ));
+    let edited = split_version_line(&read_text(&args.file)?);
+    check_text(&args.file, &edited)?;
+    let accepted = block_on(async {
+        let intent = text_intent(&plan.platform, edited, args.base).await?;
+        make_change(&plan, intent).await
+    })??;
+    shell.accepted(&accepted);
     Ok(())
 }
--- a/crates/hyssopstair/src/commands/check.rs
+++ b/crates/hyssopstair/src/commands/check.rs
@@ -6,7 +6,9 @@
 use error_stack::Report;
 
 use crate::error::CommandError;
-use crate::ops::rule_file::read_rules;
+use crate::ops::apply::split_version_line;
+use crate::ops::rule_file::check_text;
+use crate::ops::rule_file::read_text;
 use crate::shell::PersonShell;
 
 /// Checks a rule file and names every mistake.
@@ -24,13 +26,14 @@
 ///
 /// Returns an error when the file cannot be read or has mistakes.
 pub fn exec(args: &CheckArgs, shell: &mut PersonShell) -> Result<(), Report<CommandError>> {
-    let file = read_rules(&args.file)?;
+    let edited = split_version_line(&read_text(&args.file)?);
+    let rules = check_text(&args.file, &edited)?;
     shell.line(format!(
         "{}: {} services, {} drained hosts, {} keys",
         args.file.display(),
-        file.rules.services.len(),
-        file.rules.drained.len(),
-        file.rules.keys.len()
+        rules.services.len(),
+        rules.drained.len(),
+        rules.keys.len()
     ));
     Ok(())
 }
--- /dev/null
+++ b/crates/hyssopstair/src/commands/diff.rs
@@ -0,0 +1,51 @@
+//! `hyssopstair diff FILE`: compares a rule file with the rules in force.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use error_stack::Report;
+
+use crate::error::CommandError;
+use crate::ops::apply::split_version_line;
+use crate::ops::diff::diff_text;
+use crate::ops::record::read_record;
+use crate::ops::rule_file::check_text;
+use crate::ops::rule_file::read_text;
+use crate::ops::runtime::block_on;
+use crate::shell::PersonShell;
+
+/// Compares a rule file with the rules that the platform keeps.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArgs {
+    /// URL of the platform's key-value service; may be given more than once
+    #[argh(option)]
+    pub platform: Vec<String>,
+
+    /// path of the rule file
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when the file has mistakes or the platform does not answer.
+pub fn exec(args: &DiffArgs, shell: &mut PersonShell) -> Result<(), Report<CommandError>> {
+    let edited = split_version_line(&read_text(&args.file)?);
+    check_text(&args.file, &edited)?;
+    let found = block_on(read_record(&args.platform))??;
+    let (version, old) = match found {
+        Some(found) => (found.record.version, found.record.text),
+        None => (0, String::new()),
+    };
+    let lines = diff_text(&old, &edited.text);
+    if lines.is_empty() {
+        shell.progress(format!("no difference to version {version}"));
+    }
+    for line in lines {
+        shell.line(line);
+    }
+    Ok(())
+}
--- a/crates/hyssopstair/src/commands/show.rs
+++ b/crates/hyssopstair/src/commands/show.rs
@@ -1,32 +1,44 @@
-//! `hyssopstair show`: prints the rule file in force.
+//! `hyssopstair show [VERSION]`: prints a rule file.
 
 use argh::FromArgs;
 use error_stack::Report;
 
 use crate::error::CommandError;
-use crate::ops::apply::read_record;
+use crate::ops::apply::version_line;
+use crate::ops::record::read_record;
+use crate::ops::record::read_version;
 use crate::ops::runtime::block_on;
 use crate::shell::PersonShell;
 
-/// Prints the rule file that the platform keeps.
+/// Prints the rule file that the platform keeps, below a line that names its
+/// version.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "show")]
 pub struct ShowArgs {
     /// URL of the platform's key-value service; may be given more than once
     #[argh(option)]
     pub platform: Vec<String>,
+
+    /// version to print, the latest if none is given
+    #[argh(positional)]
+    pub version: Option<u64>,
 }
 
 /// Runs the command.
 ///
 /// # Errors
 ///
-/// Returns an error when the platform does not answer.
+/// Returns an error when the platform does not answer or does not keep the
+/// version.
 pub fn exec(args: &ShowArgs, shell: &mut PersonShell) -> Result<(), Report<CommandError>> {
-    match block_on(read_record(&args.platform))?? {
-        Some(found) => {
-            shell.progress(format!("version {}", found.record.version));
-            shell.line(found.record.text.trim_end());
+    let record = match args.version {
+        Some(version) => Some(block_on(read_version(&args.platform, version))??),
+        None => block_on(read_record(&args.platform))??.map(|found| found.record),
+    };
+    match record {
+        Some(record) => {
+            shell.line(version_line(record.version));
+            shell.line(record.text.trim_end());
         }
         None => shell.progress("there is no configuration yet"),
     }
--- a/crates/hyssopstair/src/error.rs
+++ b/crates/hyssopstair/src/error.rs
@@ -5,12 +5,17 @@
 /// Kinds of failure, each with an exit code of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FailureKind {
+    /// The command ran, and what it found is not good; exit code 1.
+    Finding,
     /// What the operator gave is wrong; exit code 2.
     Input,
-    /// Something that was asked gave no or a bad answer; exit code 3.
+    /// Something that was asked gave no or a bad answer, and nothing was
+    /// changed; exit code 3.
     Service,
-    /// The command ran, and what it found is not good; exit code 1.
-    Finding,
+    /// A change is written, but not confirmed by all that must; exit code 4.
+    Unconfirmed,
+    /// A change may have been written; exit code 5.
+    Unknown,
 }
 
 /// A failed step of a command; the report carries the causes.
@@ -37,6 +42,8 @@
             FailureKind::Finding => ExitCode::from(1),
             FailureKind::Input => ExitCode::from(2),
             FailureKind::Service => ExitCode::from(3),
+            FailureKind::Unconfirmed => ExitCode::from(4),
+            FailureKind::Unknown => ExitCode::from(5),
         }
     }
 }
--- a/crates/hyssopstair/src/ops/apply.rs
+++ b/crates/hyssopstair/src/ops/apply.rs
@@ -1,125 +1,83 @@
-//! Puts a rule file in force.
-
-use std::time::Duration;
+//! Finds what an operator's edit started from.
 
 use error_stack::Report;
-use error_stack::ResultExt;
-use hyssopstair_platform::client::PlatformClient;
-use hyssopstair_platform::record::CONFIGURATION_KEY;
-use hyssopstair_platform::record::ConfigurationRecord;
-use serde::Deserialize;
+use hyssopstair_platform::change::ChangeIntent;
+use hyssopstair_rules::drain::normalize;
 
 use crate::error::CommandError;
 use crate::error::FailureKind;
+use crate::ops::record::read_record;
+use crate::ops::record::read_version;
 
-/// Time between two questions to a daemon that has not confirmed.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
+/// Start of the line that says which version a file was edited from.
+const VERSION_LINE: &str = "# version ";
 
-/// What is to be put in force.
-#[derive(Debug)]
-pub struct ApplyPlan {
-    /// URLs of the platform's key-value service.
-    pub platform: Vec<String>,
-    /// Admin addresses of daemons that must confirm.
-    pub confirm: Vec<String>,
-    /// Longest wait for confirmations.
-    pub wait: Duration,
-    /// The text of the rule file.
-    pub text: String,
+/// Returns the line that `show` prints before the rules.
+pub fn version_line(version: u64) -> String {
+    format!("{VERSION_LINE}{version}")
 }
 
-/// The configuration in the platform.
-#[derive(Debug)]
-pub struct FoundRecord {
-    /// The configuration.
-    pub record: ConfigurationRecord,
-    /// The platform's revision of it.
-    pub revision: u64,
+/// A rule file and the version that it was edited from, if it says so.
+#[derive(Debug, PartialEq, Eq)]
+pub struct EditedText {
+    /// The version.
+    pub base: Option<u64>,
+    /// The rules, without the line that names the version.
+    pub text: String,
 }
 
-/// Reads the configuration from the platform.
-///
-/// # Errors
-///
-/// Returns an error when the platform does not answer or holds no record.
-pub async fn read_record(platform: &[String]) -> Result<Option<FoundRecord>, Report<CommandError>> {
-    let context = || CommandError::new(FailureKind::Service, "failed to read the configuration");
-    let client = PlatformClient::new(platform);
-    let Some(stored) = client
-        .get(CONFIGURATION_KEY)
-        .await
-        .change_context_lazy(context)?
-    else {
-        return Ok(None);
-    };
-    let record = ConfigurationRecord::decode(&stored.value).change_context_lazy(context)?;
-    Ok(Some(FoundRecord {
-        record,
-        revision: stored.revision,
-    }))
+/// Takes the first line off if it names a version.
+pub fn split_version_line(text: &str) -> EditedText {
+    let (first, rest) = text.split_once('\n').unwrap_or((text, ""));
+    let base = first
+        .strip_prefix(VERSION_LINE)
+        .and_then(|word| word.trim().parse().ok());
+    match base {
+        Some(_) => EditedText {
+            base,
+            text: rest.to_owned(),
+        },
+        None => EditedText {
+            base,
+            text: text.to_owned(),
+        },
+    }
 }
 
-/// Writes a rule file to the platform, waits for confirmations, and returns
-/// its version.
+/// Returns what an edited file is to change. `base`, if given, goes before the
+/// version that the file names.
 ///
 /// # Errors
 ///
-/// Returns an error when the platform does not take it or a daemon does not
-/// confirm it in time.
-pub async fn apply_rules(plan: &ApplyPlan) -> Result<u64, Report<CommandError>> {
-    let found = read_record(&plan.platform).await?;
-    let (version, revision) = found.map_or((0, 0), |found| (found.record.version, found.revision));
-    let record = ConfigurationRecord {
-        version: version + 1,
-        change: format!("{:032x}", rand::random::<u128>()),
-        text: plan.text.clone(),
+/// Returns an error when the version that the edit started from is not known or
+/// no longer kept.
+pub async fn text_intent(
+    platform: &[String],
+    edited: EditedText,
+    base: Option<u64>,
+) -> Result<ChangeIntent, Report<CommandError>> {
+    let text = normalize(&edited.text);
+    let base = match base.or(edited.base) {
+        Some(0) => String::new(),
+        Some(version) => read_version(platform, version).await?.text,
+        None => base_of_unmarked(platform, &text).await?,
     };
-    let written = PlatformClient::new(&plan.platform)
-        .compare_and_swap(CONFIGURATION_KEY, revision, &record.encode())
-        .await
-        .change_context_lazy(|| {
-            CommandError::new(FailureKind::Service, "failed to write the configuration")
-        })?;
-    if !written {
-        return Err(Report::new(CommandError::new(
-            FailureKind::Finding,
-            "another operator changed the rules at the same time; read them and try again",
-        )));
-    }
-    confirm(plan, record.version).await?;
-    Ok(record.version)
-}
-
-#[derive(Debug, Deserialize)]
-struct VersionReport {
-    version: u64,
-}
-
-async fn confirm(plan: &ApplyPlan, version: u64) -> Result<(), Report<CommandError>> {
-    let http = reqwest::Client::new();
-    let wait = async {
-        for address in &plan.confirm {
-            while !has_version(&http, address, version).await {
-                tokio::time::sleep(CONFIRM_INTERVAL).await;
-            }
-        }
-    };
-    tokio::time::timeout(plan.wait, wait)
-        .await
-        .change_context_lazy(|| {
-            CommandError::new(
-                FailureKind::Service,
-                format!("version {version} is written but not confirmed by every daemon"),
-            )
-        })
+    Ok(ChangeIntent::Text { base, text })
 }
 
-async fn has_version(http: &reqwest::Client, address: &str, version: u64) -> bool {
-    let Ok(answer) = http.get(format!("http://{address}/status")).send().await else {
-        return false;
-    };
-    answer
-        .json::<VersionReport>()
-        .await
-        .is_ok_and(|report| report.version >= version)
+/// A file that names no version can only be the first, or what is in force.
+async fn base_of_unmarked(platform: &[String], text: &str) -> Result<String, Report<CommandError>> {
+    match read_record(platform).await? {
+        None => Ok(String::new()),
+        Some(found) if normalize(&found.record.text) == text => Ok(text.to_owned()),
+        Some(found) => Err(Report::new(CommandError::new(
+            FailureKind::Input,
+            format!(
+                "nothing is written: the file does not say which version it was edited from; \
+                 edit what \"hyssopstair show\" prints, which is version {}, or give \
+                 --base VERSION",
+                found.record.version
+            ),
+        ))),
+    }
 }
--- a/crates/hyssopstair/src/ops/mod.rs
+++ b/crates/hyssopstair/src/ops/mod.rs
@@ -1,7 +1,16 @@
 //! What the commands do.
 
 pub mod apply;
+pub mod change;
+pub mod change_report;
+pub mod confirm;
+pub mod daemon;
+pub mod diff;
+pub mod drain;
+pub mod explain;
 pub mod keygen;
 pub mod load;
+pub mod record;
 pub mod rule_file;
 pub mod runtime;
+pub mod status;
--- a/crates/hyssopstair/src/ops/rule_file.rs
+++ b/crates/hyssopstair/src/ops/rule_file.rs
@@ -9,39 +9,37 @@
 
 use crate::error::CommandError;
 use crate::error::FailureKind;
+use crate::ops::apply::EditedText;
 
-/// A rule file that was read and checked.
-#[derive(Debug)]
-pub struct RuleFile {
-    /// The text as it stands in the file.
-    pub text: String,
-    /// The rules.
-    pub rules: RuleSet,
-}
-
-/// Reads and checks a rule file.
+/// Reads the text of a file.
 ///
 /// # Errors
 ///
-/// Returns an error that names every mistake.
-pub fn read_rules(path: &Path) -> Result<RuleFile, Report<CommandError>> {
-    let text = fs::read_to_string(path).change_context_lazy(|| {
+/// Returns an error when it cannot be read or is no text.
+pub fn read_text(path: &Path) -> Result<String, Report<CommandError>> {
+    fs::read_to_string(path).change_context_lazy(|| {
         CommandError::new(
             FailureKind::Input,
             format!("failed to read {}", path.display()),
         )
-    })?;
-    match RuleSet::parse(&text) {
-        Ok(rules) => Ok(RuleFile { text, rules }),
-        Err(mistakes) => {
-            let list: Vec<String> = mistakes
-                .iter()
-                .map(|mistake| format!("{}: {mistake}", path.display()))
-                .collect();
-            Err(Report::new(CommandError::new(
-                FailureKind::Input,
-                list.join("\n"),
-            )))
-        }
-    }
+    })
+}
+
+/// Checks the rules of a file.
+///
+/// # Errors
+///
+/// Returns an error that names every mistake, with lines as in the file.
+pub fn check_text(path: &Path, edited: &EditedText) -> Result<RuleSet, Report<CommandError>> {
+    let skipped = usize::from(edited.base.is_some());
+    RuleSet::parse(&edited.text).map_err(|mistakes| {
+        let list: Vec<String> = mistakes
+            .into_iter()
+            .map(|mut mistake| {
+                mistake.line += skipped;
+                format!("{}: {mistake}", path.display())
+            })
+            .collect();
+        Report::new(CommandError::new(FailureKind::Input, list.join("\n")))
+    })
 }
--- a/crates/hyssopstair/src/shell.rs
+++ b/crates/hyssopstair/src/shell.rs
@@ -4,6 +4,7 @@
 use error_stack::Report;
 
 use crate::error::CommandError;
+use crate::ops::change::AcceptedChange;
 
 /// Prints for people.
 #[derive(Debug, Default)]
@@ -25,8 +26,16 @@
         eprintln!("{}", text.as_ref());
     }
 
+    /// Prints that a change is in force.
+    pub fn accepted(&mut self, change: &AcceptedChange) {
+        self.line(format!(
+            "accepted: version {}, confirmed by {} daemons",
+            change.version, change.confirmed
+        ));
+    }
+
     /// Prints an error and its causes.
     pub fn error(&mut self, report: &Report<CommandError>) {
-        eprintln!("error: {report:?}");
+        eprintln!("error: {report:#}");
     }
 }
--- a/crates/hyssopstaird/src/admin.rs
+++ b/crates/hyssopstaird/src/admin.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 
+use crate::control::configuration;
 use crate::control::node::ControlNode;
 use crate::error::DaemonError;
 
@@ -36,7 +37,9 @@
 /// Returns an error when the address is in use.
 pub async fn bind(address: SocketAddrV4) -> Result<TcpListener, Report<DaemonError>> {
     TcpListener::bind(address).await.change_context_lazy(|| {
-        DaemonError::new(format!("failed to listen on admin address {address}"))
+        DaemonError::new(format!(
+            "failed to listen on the address of the field \"admin\", {address}"
+        ))
     })
 }
 
@@ -45,6 +48,7 @@
     let router = Router::new()
         .route("/status", get(status))
         .route("/ready", get(ready))
+        .merge(configuration::routes())
         .with_state(node);
     if let Err(error) = axum::serve(listener, router).await {
         log::error!("admin: {error}");
--- a/crates/hyssopstaird/src/control/entries.rs
+++ b/crates/hyssopstaird/src/control/entries.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Duration;
 
 use hyssopstair_platform::client::PlatformClient;
 use hyssopstair_platform::client::PlatformError;
@@ -13,27 +12,29 @@
 use hyssopstair_platform::record::ENTRY_PREFIX;
 use hyssopstair_platform::record::ENTRY_SLOTS;
 use hyssopstair_platform::record::entry_key;
+use hyssopstair_platform::schedule::OutageState;
+use hyssopstair_platform::schedule::poll_interval;
 use hyssopstair_wire::control::MemberState;
 use rand::RngExt;
 
+use crate::control::configuration::log_outage;
 use crate::control::node::ControlNode;
 
-/// Time between two looks at the entries, per member of the fleet.
-const INTERVAL_PER_MEMBER: Duration = Duration::from_millis(20);
-
-/// Shortest time between two looks.
-const MIN_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Runs until the process ends.
 pub async fn run(node: Arc<ControlNode>, client: PlatformClient) {
+    let mut outage = OutageState::default();
     loop {
-        if let Err(error) = refresh(&node, &client).await {
-            log::warn!("entries: {error}");
-        }
-        let members = node.members().len() as u32;
-        let interval = (INTERVAL_PER_MEMBER * members).max(MIN_INTERVAL);
-        let jitter = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(interval.mul_f64(jitter)).await;
+        let news = match refresh(&node, &client).await {
+            Ok(()) => outage.succeed(node.clock.now()),
+            Err(error) => {
+                log::debug!("entries: {error}");
+                outage.fail(node.clock.now())
+            }
+        };
+        log_outage("entries", news);
+        let jitter = rand::rng().random_range(0.0..1.0);
+        let members = node.members().len();
+        tokio::time::sleep(poll_interval(members, outage.failures(), jitter)).await;
     }
 }
 
--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use error_stack::Report;
 use error_stack::ResultExt;
+use hyssopstair_platform::fetch::FetchState;
 use hyssopstair_roster::state::RosterAction;
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_roster::versions::ConfigState;
@@ -26,6 +27,7 @@
 use hyssopstair_wire::packet::encode_packet;
 use hyssopstair_wire::token::FleetSecret;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::clock::ProcessClock;
 use crate::clock::unix_millis;
@@ -49,6 +51,10 @@
     pub secret: FleetSecret,
     /// The name of the service, for a host.
     pub service_name: Option<String>,
+    /// The newest version that a peer was heard with.
+    pub fetch: Mutex<FetchState>,
+    /// Woken when a newer version is heard.
+    pub version_heard: Notify,
     zone_name: String,
     me: ProcessId,
     roster: Mutex<RosterState>,
@@ -68,7 +74,7 @@
             .await
             .change_context_lazy(|| {
                 DaemonError::new(format!(
-                    "failed to listen on inner address {}",
+                    "failed to listen on the address of the field \"inner\", {}",
                     settings.inner
                 ))
             })?;
@@ -91,6 +97,8 @@
             socket: Arc::new(socket),
             secret,
             service_name,
+            fetch: Mutex::default(),
+            version_heard: Notify::new(),
             zone_name: settings.zone.clone(),
             me,
             roster: Mutex::new(roster),
--- a/crates/hyssopstaird/src/lib.rs
+++ b/crates/hyssopstaird/src/lib.rs
@@ -27,7 +27,7 @@
     match commands::run::exec(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("error: {report:?}");
+            eprintln!("error: {report:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/hyssopstaird/src/peer.rs
+++ b/crates/hyssopstaird/src/peer.rs
@@ -34,7 +34,11 @@
 ///
 /// Returns an error when the address is in use.
 pub fn serve(address: SocketAddrV4, node: Arc<ControlNode>) -> Result<(), Report<DaemonError>> {
-    let context = || DaemonError::new(format!("failed to listen for peers on {address}"));
+    let context = || {
+        DaemonError::new(format!(
+            "failed to listen for peers on the address of the field \"inner\", {address}"
+        ))
+    };
     let socket = Socket::new(Protocol::Rep0).change_context_lazy(context)?;
     let handle = Handle::current();
     for _ in 0..WORKERS {
@@ -98,6 +102,7 @@
                 text: config.text().to_string(),
             }
         }
+        PeerRequest::Version => PeerAnswer::Version(node.view().version),
     }
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,10 +1,14 @@
 //! The client of the key-value service.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::counts::CallCounters;
+use crate::counts::CallCounts;
+use crate::counts::CallKind;
 use crate::protocol::Compare;
 use crate::protocol::KeyValue;
 use crate::protocol::PutRequest;
@@ -19,6 +23,13 @@
 /// Longest wait for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time that a connection is kept without a call. An idle connection
+/// may have gone silent; a call on one waits in vain for the whole timeout.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Why a call to the key-value service gave no result.
 #[derive(Debug, thiserror::Error)]
 pub enum PlatformError {
@@ -50,11 +61,21 @@
     pub stored: StoredValue,
 }
 
+/// A key and the value that is to be written.
+#[derive(Debug, Clone, Copy)]
+pub struct KeyWrite<'a> {
+    /// The key.
+    pub key: &'a str,
+    /// The value.
+    pub value: &'a [u8],
+}
+
 /// A client that tries each address of the service in turn.
 #[derive(Debug, Clone)]
 pub struct PlatformClient {
     urls: Vec<String>,
     http: reqwest::Client,
+    counters: Arc<CallCounters>,
 }
 
 impl PlatformClient {
@@ -62,14 +83,22 @@
     pub fn new(urls: &[String]) -> Self {
         let http = reqwest::Client::builder()
             .timeout(CALL_TIMEOUT)
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_idle_timeout(IDLE_TIMEOUT)
             .build()
             .unwrap_or_default();
         Self {
             urls: urls.to_vec(),
             http,
+            counters: Arc::default(),
         }
     }
 
+    /// Returns the calls that this client and its clones have made.
+    pub fn counts(&self) -> CallCounts {
+        self.counters.read()
+    }
+
     /// Reads one key.
     ///
     /// # Errors
@@ -80,7 +109,7 @@
             key: encode_bytes(key.as_bytes()),
             range_end: None,
         };
-        let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
+        let response: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
         Ok(response.kvs.first().map(stored_value))
     }
 
@@ -94,7 +123,7 @@
             key: encode_bytes(prefix.as_bytes()),
             range_end: Some(encode_bytes(&prefix_end(prefix))),
         };
-        let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
+        let response: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
         Ok(response.kvs.iter().map(stored_key).collect())
     }
 
@@ -110,30 +139,42 @@
         revision: u64,
         value: &[u8],
     ) -> Result<bool, PlatformError> {
-        let key = encode_bytes(key.as_bytes());
+        let write = KeyWrite { key, value };
+        self.write_if_unchanged(key, revision, &[write]).await
+    }
+
+    /// Makes all `writes` if `key` was last changed at `revision`, 0 for a key
+    /// that does not exist, and returns whether they were made.
+    ///
+    /// A second URL is tried when the first gives no answer. So "not written" is
+    /// no proof: the first attempt may have taken effect and moved the revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer came; the writes may have taken effect.
+    pub async fn write_if_unchanged(
+        &self,
+        key: &str,
+        revision: u64,
+        writes: &[KeyWrite<'_>],
+    ) -> Result<bool, PlatformError> {
         let request = TxnRequest {
             compare: vec![Compare {
-                key: key.clone(),
+                key: encode_bytes(key.as_bytes()),
                 target: "MOD".to_owned(),
                 result: "EQUAL".to_owned(),
                 mod_revision: revision.to_string(),
             }],
-            success: vec![RequestOp {
-                request_put: Some(PutRequest {
-                    key,
-                    value: encode_bytes(value),
-                    lease: None,
-                }),
-                request_range: None,
-            }],
+            success: writes.iter().map(put_operation).collect(),
             failure: Vec::new(),
         };
-        let response: TxnResponse = self.call("/v3/kv/txn", &request).await?;
+        let response: TxnResponse = self.call(CallKind::Write, "/v3/kv/txn", &request).await?;
         Ok(response.succeeded)
     }
 
     async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
+        kind: CallKind,
         path: &str,
         request: &Q,
     ) -> Result<A, PlatformError> {
@@ -142,9 +183,11 @@
             reason: "no address is configured".to_owned(),
         };
         for url in &self.urls {
+            self.counters.count(kind);
             match self.call_one(url, path, request).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
+                    self.counters.count_failure();
                     last = PlatformError::NoAnswer {
                         url: url.clone(),
                         reason: error.to_string(),
@@ -172,6 +215,17 @@
     }
 }
 
+fn put_operation(write: &KeyWrite<'_>) -> RequestOp {
+    RequestOp {
+        request_put: Some(PutRequest {
+            key: encode_bytes(write.key.as_bytes()),
+            value: encode_bytes(write.value),
+            lease: None,
+        }),
+        request_range: None,
+    }
+}
+
 /// Returns the end of the range of keys that start with `prefix`.
 fn prefix_end(prefix: &str) -> Vec<u8> {
     let mut end = prefix.as_bytes().to_vec();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,7 +1,12 @@
 //! The platform's key-value service, spoken to by its published protocol.
 //!
-//! Start with [`client`] for the calls and [`record`] for what is kept.
+//! Start with [`client`] for the calls, [`record`] for what is kept, and
+//! [`change`] for how an operator's change gets there.
 
+pub mod change;
 pub mod client;
+pub mod counts;
+pub mod fetch;
 pub mod protocol;
 pub mod record;
+pub mod schedule;
--- a/crates/platform/src/record.rs
+++ b/crates/platform/src/record.rs
@@ -1,46 +1,160 @@
 //! What the platform keeps for the fleet.
 
+use std::io::Read;
+use std::io::Write;
+
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// Key of the configuration.
 pub const CONFIGURATION_KEY: &str = "/hyssopstair/configuration";
 
+/// Key of the version of the configuration, in decimal digits. It is written
+/// with the configuration, and is small enough to be read often.
+pub const VERSION_KEY: &str = "/hyssopstair/version";
+
+/// Start of the keys of past configurations.
+pub const HISTORY_PREFIX: &str = "/hyssopstair/history/";
+
+/// Past configurations that the platform keeps.
+pub const HISTORY_SLOTS: u64 = 32;
+
 /// Start of the keys of the entry addresses.
 pub const ENTRY_PREFIX: &str = "/hyssopstair/entry/";
 
 /// Entry addresses that the platform keeps at most.
 pub const ENTRY_SLOTS: u32 = 16;
 
+/// Largest value that the platform takes, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// Changes that a record names. A writer whose answer was lost finds its change
+/// among them, unless this many others followed.
+pub const NAMED_CHANGES: usize = 64;
+
+/// Longest text of a record, in bytes.
+const MAX_TEXT_BYTES: u64 = 64 * 1024 * 1024;
+
 /// Returns the key of an entry address.
 pub fn entry_key(slot: u32) -> String {
     format!("{ENTRY_PREFIX}{slot:02}")
 }
 
+/// Returns the key of a past configuration.
+pub fn history_key(version: u64) -> String {
+    format!("{HISTORY_PREFIX}{:02}", version % HISTORY_SLOTS)
+}
+
+/// Names a change; drawn at random for each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeId(pub u128);
+
+/// A change that took effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedChange {
+    /// The change.
+    pub id: ChangeId,
+    /// The version that it made.
+    pub version: u64,
+}
+
 /// The configuration as it is kept.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConfigurationRecord {
-    /// Grows by one with each change.
+    /// Grows with each change.
     pub version: u64,
-    /// Names the change, so that a writer that got no answer can tell whether
-    /// the write was its own.
-    pub change: String,
+    /// The latest changes, the last one at the end.
+    pub changes: Vec<NamedChange>,
     /// The text of the rule file.
     pub text: String,
 }
 
+/// Why bytes are no record.
+#[derive(Debug, thiserror::Error)]
+pub enum RecordError {
+    /// The outer structure is wrong.
+    #[error("the value is not a configuration record")]
+    Malformed(#[from] postcard::Error),
+    /// The text cannot be unpacked.
+    #[error("the text of the configuration record cannot be unpacked")]
+    Text(#[from] std::io::Error),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PackedRecord {
+    version: u64,
+    changes: Vec<NamedChange>,
+    deflated_text: Vec<u8>,
+}
+
 impl ConfigurationRecord {
     /// Reads a record.
     ///
     /// # Errors
     ///
     /// Returns an error when the bytes are no record.
-    pub fn decode(bytes: &[u8]) -> Result<Self, serde_json::Error> {
-        serde_json::from_slice(bytes)
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        let packed: PackedRecord = postcard::from_bytes(bytes)?;
+        let mut text = String::new();
+        DeflateDecoder::new(packed.deflated_text.as_slice())
+            .take(MAX_TEXT_BYTES)
+            .read_to_string(&mut text)?;
+        Ok(Self {
+            version: packed.version,
+            changes: packed.changes,
+            text,
+        })
+    }
+
+    /// Writes the record in its packed form.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the text cannot be packed.
+    pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+        encoder.write_all(self.text.as_bytes())?;
+        let packed = PackedRecord {
+            version: self.version,
+            changes: self.changes.clone(),
+            deflated_text: encoder.finish()?,
+        };
+        Ok(postcard::to_stdvec(&packed)?)
+    }
+
+    /// Returns the version that a change made, if the record names it.
+    pub fn version_of(&self, id: ChangeId) -> Option<u64> {
+        let change = self.changes.iter().find(|change| change.id == id)?;
+        Some(change.version)
+    }
+
+    /// Returns whether a change that made `version` would still be named here.
+    pub fn reaches_back_to(&self, version: u64) -> bool {
+        let oldest = self.changes.first().map_or(0, |change| change.version);
+        self.changes.len() < NAMED_CHANGES || oldest <= version
+    }
+
+    /// Returns the record that follows this one.
+    pub fn followed_by(&self, id: ChangeId, version: u64, text: String) -> Self {
+        let surplus = (self.changes.len() + 1).saturating_sub(NAMED_CHANGES);
+        let mut changes = self.changes[surplus..].to_vec();
+        changes.push(NamedChange { id, version });
+        Self {
+            version,
+            changes,
+            text,
+        }
     }
 
-    /// Writes the record as JSON.
-    pub fn encode(&self) -> Vec<u8> {
-        serde_json::to_vec(self).unwrap_or_default()
+    /// Returns the record before any change.
+    pub fn empty() -> Self {
+        Self {
+            version: 0,
+            changes: Vec::new(),
+            text: String::new(),
+        }
     }
 }
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -6,6 +6,8 @@
 //! [`settings`] for the settings.
 
 pub(crate) mod builder;
+pub mod drain;
+pub mod edit;
 pub mod error;
 pub mod hint;
 pub mod line;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -11,6 +11,8 @@
         /// The version that the asking process has.
         above: u64,
     },
+    /// Asks for the version of the configuration in force.
+    Version,
 }
 
 /// The answer to a [`PeerRequest`].
@@ -25,6 +27,8 @@
     },
     /// There is nothing newer.
     UpToDate,
+    /// The version of the configuration in force.
+    Version(u64),
 }
 
 /// Writes a question.
