--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use error_stack::Report;
 use error_stack::ResultExt;
+use hyssopstair_platform::fetch::FetchState;
 use hyssopstair_roster::state::RosterAction;
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_roster::versions::ConfigState;
@@ -31,6 +32,7 @@
 use hyssopstair_wire::packet::encode_packet;
 use hyssopstair_wire::token::FleetSecret;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::clock::ProcessClock;
 use crate::clock::unix_millis;
@@ -56,6 +58,10 @@
     pub counts: PacketCounts,
     /// The name of the service, for a host.
     pub service_name: Option<String>,
+    /// The newest version that a peer was heard with.
+    pub fetch: Mutex<FetchState>,
+    /// Woken when a newer version is heard.
+    pub version_heard: Notify,
     zone_name: String,
     address: SocketAddrV4,
     incarnation: AtomicU32,
@@ -76,7 +82,7 @@
             .await
             .change_context_lazy(|| {
                 DaemonError::new(format!(
-                    "failed to listen on inner address {}",
+                    "failed to listen on the address of the field \"inner\", {}",
                     settings.inner
                 ))
             })?;
@@ -103,6 +109,8 @@
             secret,
             counts: PacketCounts::default(),
             service_name,
+            fetch: Mutex::default(),
+            version_heard: Notify::new(),
             zone_name: settings.zone.clone(),
             address: me.address,
             incarnation: AtomicU32::new(me.incarnation.0),
--- a/crates/hyssopstaird/src/host/proxy.rs
+++ b/crates/hyssopstaird/src/host/proxy.rs
@@ -11,7 +11,7 @@
 use hyssopstair_requests::admission::RequestClass;
 use hyssopstair_requests::ledger::RunOutcome;
 use hyssopstair_requests::verdict::RequestVerdict;
-use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_rules::service_rule::ServiceRule;
 use hyssopstair_wire::peer::WholeReply;
 use hyssopstair_wire::peer::encode_reply;
 use hyssopstair_wire::time::MonotonicTime;
--- a/crates/hyssopstaird/src/host/relay.rs
+++ b/crates/hyssopstaird/src/host/relay.rs
@@ -6,7 +6,7 @@
 
 use hyssopstair_requests::admission::RequestClass;
 use hyssopstair_requests::relay::RelayDecision;
-use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_rules::service_rule::ServiceRule;
 use hyssopstair_wire::address::ProcessId;
 use hyssopstair_wire::peer::PeerAnswer;
 use hyssopstair_wire::peer::PeerRequest;
--- a/crates/hyssopstaird/src/peer/server.rs
+++ b/crates/hyssopstaird/src/peer/server.rs
@@ -51,6 +51,7 @@
     async fn answer(&self, request: PeerRequest) -> PeerAnswer {
         match (request, self.host.get()) {
             (PeerRequest::Configuration { above }, _) => self.configuration(above),
+            (PeerRequest::Version, _) => PeerAnswer::Version(self.node.view().version),
             (PeerRequest::Settle(request), Some(host)) => {
                 PeerAnswer::Settled(settle::answer(host, &request))
             }
@@ -79,7 +80,11 @@
 ///
 /// Returns an error when the address is in use.
 pub fn serve(address: SocketAddrV4, desk: &PeerDesk) -> Result<(), Report<DaemonError>> {
-    let context = || DaemonError::new(format!("failed to listen for peers on {address}"));
+    let context = || {
+        DaemonError::new(format!(
+            "failed to listen for peers on the address of the field \"inner\", {address}"
+        ))
+    };
     let socket = Socket::new(Protocol::Rep0).change_context_lazy(context)?;
     let handle = Handle::current();
     for _ in 0..WORKERS {
