Ask peers by nng's blocking calls, and keep what answers them alive

Cause, in two steps. Peers were never answered: the socket and the asynchronous operations of the answering side were dropped when the function that made them returned. Once they were kept, a daemon now and then stopped fetching configurations for good: on the asking side the last handle of an asynchronous operation could go inside its own callback, where nng waits for that callback to end. Ruled out: the platform's client (its other loop went on), the version that is heard (logged), a lock of ours (none is held over the call).

Change: the answering side is a value that the daemon holds; the asking side takes a connection from a pool, or opens one, and uses blocking calls on a thread for blocking work. nng's own second sending and reconnection are off.

--- a/crates/hyssopstaird/src/peer/client.rs
+++ b/crates/hyssopstaird/src/peer/client.rs
@@ -10,15 +10,13 @@
 use hyssopstair_wire::peer::PeerRequest;
 use hyssopstair_wire::peer::decode_answer;
 use hyssopstair_wire::peer::encode_request;
-use nng::Aio;
-use nng::AioResult;
-use nng::Context;
-use nng::Message;
 use nng::Protocol;
 use nng::Socket;
 use nng::options::Options;
+use nng::options::ReconnectMinTime;
+use nng::options::RecvTimeout;
+use nng::options::SendTimeout;
 use nng::options::protocol::reqrep::ResendTime;
-use tokio::sync::oneshot;
 
 use crate::control::node::lock;
 use crate::error::DaemonError;
@@ -40,17 +38,22 @@
     NoAnswer,
 }
 
-/// A connection to one peer.
-#[derive(Debug, Clone)]
-struct PeerLink {
+/// Time after which nng would connect again by itself: never, for a question
+/// that went out on the new connection could be acted upon twice.
+const NEVER: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// A connection to one peer that nobody uses at the moment.
+#[derive(Debug)]
+struct IdleLink {
     address: SocketAddrV4,
     socket: Socket,
 }
 
-/// Connections to peers, kept until a peer is silent.
+/// Connections to peers, kept until a peer is silent. A connection carries one
+/// question at a time.
 #[derive(Debug, Default)]
 pub struct PeerPool {
-    links: Mutex<Vec<PeerLink>>,
+    idle: Mutex<Vec<IdleLink>>,
 }
 
 impl PeerPool {
@@ -65,83 +68,67 @@
         request: &PeerRequest,
         timeout: Duration,
     ) -> Result<PeerAnswer, PeerError> {
-        let link = self.link(address)?;
-        let answer = link.ask(request, timeout).await;
-        if answer.is_err() {
-            // Something between the two ends may have lost the connection.
-            self.drop_link(&link);
-        }
-        answer
+        let kept = self.take(address);
+        let bytes = encode_request(request);
+        // The blocking calls of nng are used, because its asynchronous
+        // operations wait for their own end when the last handle goes in one.
+        let asking = tokio::task::spawn_blocking(move || {
+            let socket = match kept {
+                Some(socket) => socket,
+                None => open(address)?,
+            };
+            let answer = ask_blocking(&socket, &bytes, timeout)?;
+            Ok((socket, answer))
+        });
+        let (socket, answer) = asking.await.map_err(|_| PeerError::NoAnswer)??;
+        self.keep(IdleLink { address, socket });
+        Ok(answer)
     }
 
-    fn link(&self, address: SocketAddrV4) -> Result<PeerLink, PeerError> {
-        let mut links = lock(&self.links);
-        match links.binary_search_by_key(&address, |link| link.address) {
-            Ok(index) => Ok(links[index].clone()),
-            Err(index) => {
-                let link = PeerLink::open(address).map_err(|_| PeerError::NotSent)?;
-                links.insert(index, link.clone());
-                if links.len() > MAX_LINKS {
-                    let other = if index == 0 { links.len() - 1 } else { 0 };
-                    links.remove(other);
-                }
-                Ok(link)
-            }
-        }
+    fn take(&self, address: SocketAddrV4) -> Option<Socket> {
+        let mut idle = lock(&self.idle);
+        let index = idle
+            .binary_search_by_key(&address, |link| link.address)
+            .ok()?;
+        Some(idle.remove(index).socket)
     }
 
-    fn drop_link(&self, link: &PeerLink) {
-        lock(&self.links).retain(|other| other.socket != link.socket);
+    fn keep(&self, link: IdleLink) {
+        let mut idle = lock(&self.idle);
+        if idle.len() >= MAX_LINKS {
+            return;
+        }
+        let index = idle.partition_point(|other| other.address < link.address);
+        idle.insert(index, link);
     }
 }
 
-impl PeerLink {
-    fn open(address: SocketAddrV4) -> Result<Self, nng::Error> {
+fn open(address: SocketAddrV4) -> Result<Socket, PeerError> {
+    let connect = || -> Result<Socket, nng::Error> {
         let socket = Socket::new(Protocol::Req0)?;
         // A question that was sent again could be acted upon twice.
         socket.set_opt::<ResendTime>(None)?;
-        socket.dial_async(&format!("tcp://{address}"))?;
-        Ok(Self { address, socket })
-    }
-
-    async fn ask(&self, request: &PeerRequest, timeout: Duration) -> Result<PeerAnswer, PeerError> {
-        let (sender, receiver) = oneshot::channel();
-        let context = Context::new(&self.socket).map_err(|_| PeerError::NotSent)?;
-        let aio = answer_aio(context.clone(), sender).map_err(|_| PeerError::NotSent)?;
-        aio.set_timeout(Some(timeout))
-            .map_err(|_| PeerError::NotSent)?;
-        context
-            .send(&aio, encode_request(request).as_slice())
-            .map_err(|_| PeerError::NotSent)?;
-        let message = tokio::time::timeout(timeout, receiver)
-            .await
-            .map_err(|_| PeerError::NoAnswer)?
-            .map_err(|_| PeerError::NoAnswer)??;
-        decode_answer(message.as_slice()).ok_or(PeerError::NoAnswer)
-    }
+        socket.set_opt::<ReconnectMinTime>(Some(NEVER))?;
+        socket.dial(&format!("tcp://{address}"))?;
+        Ok(socket)
+    };
+    connect().map_err(|_| PeerError::NotSent)
 }
 
-type AnswerSender = oneshot::Sender<Result<Message, PeerError>>;
-
-/// Returns a handle that receives the answer once the question is sent.
-fn answer_aio(context: Context, sender: AnswerSender) -> Result<Aio, nng::Error> {
-    let sender = Mutex::new(Some(sender));
-    let give = move |answer| {
-        if let Some(sender) = lock(&sender).take() {
-            let _ = sender.send(answer);
-        }
-    };
-    Aio::new(move |aio, result| match result {
-        AioResult::Send(Ok(())) => {
-            if context.recv(&aio).is_err() {
-                give(Err(PeerError::NoAnswer));
-            }
-        }
-        AioResult::Send(Err(_)) => give(Err(PeerError::NotSent)),
-        AioResult::Recv(Ok(message)) => give(Ok(message)),
-        AioResult::Recv(Err(_)) => give(Err(PeerError::NoAnswer)),
-        AioResult::Sleep(_) => {}
-    })
+fn ask_blocking(
+    socket: &Socket,
+    request: &[u8],
+    timeout: Duration,
+) -> Result<PeerAnswer, PeerError> {
+    socket
+        .set_opt::<SendTimeout>(Some(timeout))
+        .map_err(|_| PeerError::NotSent)?;
+    socket
+        .set_opt::<RecvTimeout>(Some(timeout))
+        .map_err(|_| PeerError::NotSent)?;
+    socket.send(request).map_err(|_| PeerError::NotSent)?;
+    let message = socket.recv().map_err(|_| PeerError::NoAnswer)?;
+    decode_answer(message.as_slice()).ok_or(PeerError::NoAnswer)
 }
 
 /// Asks the process at `address` over a connection of its own.
@@ -154,8 +141,8 @@
     request: PeerRequest,
 ) -> Result<PeerAnswer, Report<DaemonError>> {
     let context = || DaemonError::new(format!("failed to ask the peer at {address}"));
-    let link = PeerLink::open(address).change_context_lazy(context)?;
-    link.ask(&request, PEER_TIMEOUT)
+    PeerPool::default()
+        .ask(address, &request, PEER_TIMEOUT)
         .await
         .change_context_lazy(context)
 }
--- a/crates/hyssopstaird/src/peer/server.rs
+++ b/crates/hyssopstaird/src/peer/server.rs
@@ -74,12 +74,20 @@
     }
 }
 
-/// Answers questions of peers until the process ends.
+/// What must live for as long as peers are answered: nng gives up whatever has
+/// no handle left.
+#[derive(Debug)]
+pub struct PeerServer {
+    _socket: Socket,
+    _workers: Vec<Aio>,
+}
+
+/// Answers questions of peers until the server that it returns is dropped.
 ///
 /// # Errors
 ///
 /// Returns an error when the address is in use.
-pub fn serve(address: SocketAddrV4, desk: &PeerDesk) -> Result<(), Report<DaemonError>> {
+pub fn serve(address: SocketAddrV4, desk: &PeerDesk) -> Result<PeerServer, Report<DaemonError>> {
     let context = || {
         DaemonError::new(format!(
             "failed to listen for peers on the address of the field \"inner\", {address}"
@@ -87,6 +95,7 @@
     };
     let socket = Socket::new(Protocol::Rep0).change_context_lazy(context)?;
     let handle = Handle::current();
+    let mut workers = Vec::new();
     for _ in 0..WORKERS {
         let worker = Context::new(&socket).change_context_lazy(context)?;
         let receiver = worker.clone();
@@ -97,11 +106,15 @@
         })
         .change_context_lazy(context)?;
         receiver.recv(&aio).change_context_lazy(context)?;
+        workers.push(aio);
     }
     socket
         .listen(&format!("tcp://{address}"))
         .change_context_lazy(context)?;
-    Ok(())
+    Ok(PeerServer {
+        _socket: socket,
+        _workers: workers,
+    })
 }
 
 fn step(worker: &Context, aio: &Aio, result: AioResult, desk: &PeerDesk, handle: &Handle) {
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -5,6 +5,7 @@
 //! `SERVICE-1-backend`, and can be killed, frozen and started again by name.
 //! All are killed when the fleet is dropped. The programs must have been built.
 
+use std::cell::Cell;
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
@@ -122,6 +123,8 @@
     network: [u8; 2],
     directory: TempDir,
     processes: Vec<FleetProcess>,
+    /// The version that was applied last.
+    applied: Cell<u64>,
     /// Shows other tests that the network is taken.
     _guard: TcpListener,
 }
@@ -140,15 +143,25 @@
             network,
             directory: TempDir::new()?,
             processes: Vec::new(),
+            applied: Cell::new(0),
             _guard: guard,
         };
         fleet.write_keys()?;
         fleet.start_processes()?;
-        fleet.wait_for_platform().await?;
-        let rules = fleet.rules();
-        fleet.apply(&rules).await?;
-        fleet.wait_until_settled().await?;
-        Ok(fleet)
+        match fleet.settle().await {
+            Ok(()) => Ok(fleet),
+            Err(error) => {
+                fleet.print_logs();
+                Err(error)
+            }
+        }
+    }
+
+    async fn settle(&self) -> Result<(), FleetError> {
+        self.wait_for_platform().await?;
+        let rules = self.rules();
+        self.apply(&rules).await?;
+        self.wait_until_settled().await
     }
 
     /// Returns the address of the platform.
@@ -248,12 +261,19 @@
             "--platform".to_owned(),
             format!("http://{}", self.platform()),
         ];
+        let applied = self.applied.get();
+        if applied > 0 {
+            arguments.push("--base".to_owned());
+            arguments.push(applied.to_string());
+        }
         for name in daemons {
             arguments.push("--confirm".to_owned());
             arguments.push(self.admin(name).to_string());
         }
         arguments.push(path.display().to_string());
-        self.command(&arguments).await.map(|_| ())
+        self.command(&arguments).await?;
+        self.applied.set(applied + 1);
+        Ok(())
     }
 
     /// Runs the operators' command and returns what it printed.
@@ -548,6 +568,19 @@
         self.ip(FIRST_HOST + HOSTS_PER_SERVICE * service + number)
     }
 
+    /// Prints the end of each process's log, for a test that fails.
+    fn print_logs(&self) {
+        const LINES: usize = 8;
+        for process in &self.processes {
+            let log = self.log(&process.name);
+            let lines: Vec<&str> = log.lines().collect();
+            eprintln!("---- end of the log of {}", process.name);
+            for line in &lines[lines.len().saturating_sub(LINES)..] {
+                eprintln!("{line}");
+            }
+        }
+    }
+
     fn find(&self, name: &str) -> Result<&FleetProcess, FleetError> {
         self.processes
             .iter()
@@ -674,6 +707,9 @@
 
 impl Drop for TestFleet {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_logs();
+        }
         for process in &mut self.processes {
             if let Some(child) = process.child.as_mut() {
                 let _ = child.kill();
