--- a/crates/hyssopstaird/src/peer/server.rs
+++ b/crates/hyssopstaird/src/peer/server.rs
@@ -130,6 +130,8 @@
                 }
             });
         }
+        // The process stops: another wait would keep nng from letting go.
+        AioResult::Recv(Err(nng::Error::Closed | nng::Error::Canceled)) => {}
         AioResult::Send(_) | AioResult::Recv(Err(_)) => {
             let _ = worker.recv(aio);
         }
