Test the spans of one request across real processes

Cause: nothing showed that host and balancers join the caller's trace. Ruled out: a collector from a registry (none is needed; OTLP has a JSON form).

CallerFlow can send headers. Not shown: admission wait and peer relay, which have names and a function but no caller yet.

--- a/crates/hyssopstair/src/ops/load/caller.rs
+++ b/crates/hyssopstair/src/ops/load/caller.rs
@@ -148,12 +148,31 @@
         key: &str,
         body: Bytes,
     ) -> Result<(Response<()>, AnswerStream), CallerError> {
-        let request = Request::builder()
+        let request = self
+            .request(method, path, key)
+            .body(())
+            .map_err(|error| CallerError(error.to_string()))?;
+        self.send(request, body).await
+    }
+
+    /// Begins a request to the service; headers may be added.
+    pub fn request(&self, method: &str, path: &str, key: &str) -> http::request::Builder {
+        Request::builder()
             .method(method)
             .uri(format!("https://{}{path}", self.service))
             .header("idempotency-key", key)
-            .body(())
-            .map_err(|error| CallerError(error.to_string()))?;
+    }
+
+    /// Sends a request and returns its answer's head and stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the flow ends before the answer begins.
+    pub async fn send(
+        &self,
+        request: Request<()>,
+        body: Bytes,
+    ) -> Result<(Response<()>, AnswerStream), CallerError> {
         let mut sender = self.sender.clone();
         let mut stream = sender
             .send_request(request)
@@ -188,13 +207,25 @@
         key: &str,
         body: Bytes,
     ) -> Result<WholeAnswer, CallerError> {
-        let (head, mut stream) = self.ask(method, path, key, body).await?;
-        let mut bytes = Vec::new();
-        while let Some(chunk) = read_chunk(&mut stream).await? {
-            bytes.extend_from_slice(&chunk);
-        }
-        Ok(WholeAnswer { head, body: bytes })
+        let (head, stream) = self.ask(method, path, key, body).await?;
+        read_whole(head, stream).await
+    }
+}
+
+/// Reads an answer to its end.
+///
+/// # Errors
+///
+/// Returns an error when the answer ends before it is whole.
+pub async fn read_whole(
+    head: Response<()>,
+    mut stream: AnswerStream,
+) -> Result<WholeAnswer, CallerError> {
+    let mut body = Vec::new();
+    while let Some(chunk) = read_chunk(&mut stream).await? {
+        body.extend_from_slice(&chunk);
     }
+    Ok(WholeAnswer { head, body })
 }
 
 /// Reads the next part of an answer, or nothing at its end.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! the programs do, so that tests can run them in their own process.
 
 pub mod backend;
+pub mod collector;
 pub mod fabric;
 pub mod fleet;
 pub mod platform;
