--- a/crates/hyssopstair/src/ops/load/caller.rs
+++ b/crates/hyssopstair/src/ops/load/caller.rs
@@ -161,6 +161,7 @@
             .method(method)
             .uri(format!("https://{}{path}", self.service))
             .header("idempotency-key", key)
+            .header("hyssopstair-tickets", "1")
     }
 
     /// Sends a request and returns its answer's head and stream.
