--- a/crates/hyssopstaird/src/host/request.rs
+++ b/crates/hyssopstaird/src/host/request.rs
@@ -10,7 +10,7 @@
 use http::Request;
 use http::header;
 use hyssopstair_requests::admission::RequestClass;
-use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_rules::service_rule::ServiceRule;
 use hyssopstair_wire::peer::BackendCall;
 use hyssopstair_wire::peer::HeaderField;
 use hyssopstair_wire::time::MonotonicTime;
--- a/crates/hyssopstaird/src/host/state.rs
+++ b/crates/hyssopstaird/src/host/state.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -15,10 +16,10 @@
 use hyssopstair_requests::relay::RelayLog;
 use hyssopstair_requests::ticket::TicketKey;
 use hyssopstair_requests::ticket::TicketNumber;
-use hyssopstair_routing::host::HostGate;
-use hyssopstair_routing::host::HostLoad;
-use hyssopstair_routing::host::ReturnTable;
-use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_routing::gate::HostGate;
+use hyssopstair_routing::gate::HostLoad;
+use hyssopstair_routing::returns::ReturnTable;
+use hyssopstair_rules::service_rule::ServiceRule;
 use hyssopstair_rules::settings::HostSettings;
 use hyssopstair_wire::address::ServiceId;
 use tokio::sync::Notify;
@@ -29,9 +30,6 @@
 use crate::host::socket::PacketQueue;
 use crate::peer::client::PeerPool;
 
-/// Locks that callers' return paths are spread over.
-const RETURN_SHARDS: usize = 16;
-
 /// The state that the parts of a host share.
 #[derive(Debug)]
 pub struct HostState {
@@ -60,9 +58,10 @@
     /// The number of the last relay that was sent.
     pub relay_number: AtomicU64,
     /// The decisions about packets, from the time that the service is known.
-    pub gate: Mutex<Option<HostGate>>,
+    pub gate: OnceLock<HostGate>,
+    /// The ways back to callers.
+    pub returns: ReturnTable,
     name: String,
-    returns: Vec<Mutex<ReturnTable>>,
     flows: AtomicU32,
     draining: AtomicBool,
 }
@@ -84,9 +83,9 @@
             budget: Mutex::default(),
             relays: Mutex::new(RelayLog::new(node.me())),
             relay_number: AtomicU64::new(0),
-            gate: Mutex::default(),
+            gate: OnceLock::new(),
+            returns: ReturnTable::default(),
             name: settings.service.clone(),
-            returns: (0..RETURN_SHARDS).map(|_| Mutex::default()).collect(),
             flows: AtomicU32::new(0),
             draining: AtomicBool::new(false),
             node,
@@ -106,22 +105,11 @@
             .map(|service| service.id)
     }
 
-    /// Returns the return paths that a caller's belongs to.
-    pub fn returns(&self, caller: SocketAddrV4) -> &Mutex<ReturnTable> {
-        let shard = usize::from(caller.port()) % RETURN_SHARDS;
-        &self.returns[shard]
-    }
-
-    /// Notes that a balancer does not answer.
-    pub fn lose_balancer(&self, address: SocketAddrV4) {
-        for table in &self.returns {
-            lock(table).lose_balancer(address);
-        }
-    }
-
     /// Returns the present load.
     pub fn load(&self) -> HostLoad {
-        let limit = self.service().map_or(0, |service| service.connections);
+        let view = self.node.view();
+        let service = view.rules.service_named(&self.name);
+        let limit = service.map_or(0, |service| service.connections);
         HostLoad {
             flows: self.flows(),
             limit,
@@ -146,8 +134,11 @@
 
     /// Returns whether the host takes nothing new.
     pub fn is_draining(&self) -> bool {
-        let drained_by_rule = self.node.view().rules.is_drained(self.node.me().address);
-        drained_by_rule || self.draining.load(Ordering::Relaxed)
+        let rules = self.node.view().rules.clone();
+        let takes_new = rules
+            .service_named(&self.name)
+            .is_none_or(|service| rules.takes_new(service.id, self.node.me().address));
+        !takes_new || self.draining.load(Ordering::Relaxed)
     }
 
     /// Takes nothing new from now on. Tickets that were not shown yet are void,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -121,6 +121,8 @@
     Settle(SettleRequest),
     /// Hands a request over.
     Relay(Box<RelayRequest>),
+    /// Asks for the version of the configuration in force.
+    Version,
 }
 
 /// The answer to a [`PeerRequest`].
@@ -141,6 +143,8 @@
     Relayed(RelayAnswer),
     /// The process does not answer such questions; nothing was done.
     Refused,
+    /// The version of the configuration in force.
+    Version(u64),
 }
 
 /// Writes a question.
