Load services by an open loop, break things by schedule, and draw the result

Cause: the thin load tool sent at a fixed interval and measured from the moment of sending, so that a stall hid itself; flows opened one after the other and were never opened again; a request was judged by its method alone; backend servers' logs of an earlier load counted in; flows and requests shared one imbalance. Ruled out: a closed loop of callers (it slows down with the service, and so measures itself); one task per flow (the rate would depend on the flows).

--- a/crates/hyssopstair/src/commands/load.rs
+++ b/crates/hyssopstair/src/commands/load.rs
@@ -1,24 +1,42 @@
 //! `hyssopstair load WORKLOAD`: asks services as callers do and reports.
 
+use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 
 use argh::FromArgs;
 use error_stack::Report;
+use error_stack::ResultExt;
 
 use crate::error::CommandError;
 use crate::error::FailureKind;
+use crate::ops::load::compare::compare_reports;
+use crate::ops::load::compare::read_report;
+use crate::ops::load::plot::write_plot;
 use crate::ops::load::run_load;
 use crate::ops::load::workload::read_workload;
 use crate::ops::runtime::block_on;
 use crate::shell::PersonShell;
 
-/// Runs a workload: feeds, and requests at fixed rates.
+/// Runs a workload of feeds, requests and faults, or compares two reports.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "load")]
 pub struct LoadArgs {
-    /// path of the workload file, in YAML
+    /// compare two reports instead of running a workload
+    #[argh(switch)]
+    pub compare: bool,
+
+    /// also write the report to this file, as JSON
+    #[argh(option)]
+    pub json: Option<PathBuf>,
+
+    /// also draw the load to this file, as SVG
+    #[argh(option)]
+    pub plot: Option<PathBuf>,
+
+    /// path of the workload file, in YAML; or of two reports, in JSON
     #[argh(positional)]
-    pub workload: PathBuf,
+    pub files: Vec<PathBuf>,
 }
 
 /// Runs the command.
@@ -28,17 +46,55 @@
 /// Returns an error when the workload is wrong, or when a flow broke, a request
 /// ran twice or reached a wrong service.
 pub fn exec(args: &LoadArgs, shell: &mut PersonShell) -> Result<(), Report<CommandError>> {
-    let workload = read_workload(&args.workload)?;
-    let report = block_on(run_load(&workload))??;
+    match (args.compare, args.files.as_slice()) {
+        (true, [before, after]) => compare(before, after, shell),
+        (false, [workload]) => run(args, workload, shell),
+        (true, _) => Err(wrong_usage("--compare needs two reports")),
+        (false, _) => Err(wrong_usage("one workload file is needed")),
+    }
+}
+
+fn wrong_usage(text: &str) -> Report<CommandError> {
+    Report::new(CommandError::new(FailureKind::Input, text))
+}
+
+fn compare(
+    before: &Path,
+    after: &Path,
+    shell: &mut PersonShell,
+) -> Result<(), Report<CommandError>> {
+    let lines = compare_reports(&read_report(before)?, &read_report(after)?);
+    for line in lines {
+        shell.line(line);
+    }
+    Ok(())
+}
+
+fn run(args: &LoadArgs, path: &Path, shell: &mut PersonShell) -> Result<(), Report<CommandError>> {
+    let workload = read_workload(path)?;
+    let progress = |line| PersonShell::new().progress(line);
+    let report = block_on(run_load(&workload, progress))??;
     for line in report.table() {
         shell.line(line);
     }
     shell.line(report.json());
+    if let Some(path) = &args.json {
+        fs::write(path, report.json()).change_context_lazy(|| {
+            CommandError::new(
+                FailureKind::Input,
+                format!("failed to write report {}", path.display()),
+            )
+        })?;
+    }
+    if let Some(path) = &args.plot {
+        write_plot(path, &report)?;
+    }
     if report.is_clean() {
         return Ok(());
     }
     Err(Report::new(CommandError::new(
         FailureKind::Finding,
-        "a flow broke, a request ran twice, or something reached a wrong service",
+        "a flow broke, a request ran twice, a fault could not be done, or something reached a \
+         wrong service",
     )))
 }
--- a/crates/hyssopstair/src/ops/load/caller.rs
+++ b/crates/hyssopstair/src/ops/load/caller.rs
@@ -52,6 +52,7 @@
 pub struct CallerFlow {
     sender: SendRequest<OpenStreams, Bytes>,
     service: String,
+    connection: quinn::Connection,
     _endpoint: Endpoint,
 }
 
@@ -120,8 +121,7 @@
             .await
             .map_err(|error| failed(&error))?
             .map_err(|error| failed(&error))?;
-        let connection = h3_quinn::Connection::new(connection);
-        let (mut driver, sender) = h3::client::new(connection)
+        let (mut driver, sender) = h3::client::new(h3_quinn::Connection::new(connection.clone()))
             .await
             .map_err(|error| failed(&error))?;
         tokio::spawn(async move {
@@ -130,6 +130,7 @@
         Ok(CallerFlow {
             sender,
             service: service.to_owned(),
+            connection,
             _endpoint: endpoint,
         })
     }
@@ -155,6 +156,12 @@
         self.send(request, body).await
     }
 
+    /// Returns why the flow has ended, if it has.
+    pub fn end_reason(&self) -> Option<CallerError> {
+        let reason = self.connection.close_reason()?;
+        Some(CallerError(reason.to_string()))
+    }
+
     /// Begins a request to the service; headers may be added.
     pub fn request(&self, method: &str, path: &str, key: &str) -> http::request::Builder {
         Request::builder()
--- /dev/null
+++ b/crates/hyssopstair/src/ops/load/compare.rs
@@ -0,0 +1,120 @@
+//! Sets two reports of loads side by side.
+
+use std::fs;
+use std::path::Path;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use serde_json::Value;
+
+use crate::error::CommandError;
+use crate::error::FailureKind;
+
+/// One number of two reports.
+#[derive(Debug, Clone, PartialEq)]
+struct ComparedNumber {
+    name: String,
+    before: Option<f64>,
+    after: Option<f64>,
+}
+
+/// Reads a report that `--json` has written.
+///
+/// # Errors
+///
+/// Returns an error when the file is no report.
+pub fn read_report(path: &Path) -> Result<Value, Report<CommandError>> {
+    let context = || {
+        CommandError::new(
+            FailureKind::Input,
+            format!("failed to read report {}", path.display()),
+        )
+    };
+    let text = fs::read_to_string(path).change_context_lazy(context)?;
+    serde_json::from_str(&text).change_context_lazy(context)
+}
+
+/// Returns lines for people with each number of both reports and its change.
+pub fn compare_reports(before: &Value, after: &Value) -> Vec<String> {
+    let mut numbers = Vec::new();
+    collect("", before, &mut numbers, |number| &mut number.before);
+    collect("", after, &mut numbers, |number| &mut number.after);
+    let mut lines = vec![format!(
+        "{:<42}{:>12}{:>12}{:>10}",
+        "", "before", "after", "change"
+    )];
+    lines.extend(numbers.iter().map(compared_row));
+    lines
+}
+
+fn collect(
+    name: &str,
+    value: &Value,
+    numbers: &mut Vec<ComparedNumber>,
+    side: fn(&mut ComparedNumber) -> &mut Option<f64>,
+) {
+    match value {
+        Value::Number(number) => set(name, number.as_f64(), numbers, side),
+        Value::Object(fields) => {
+            // The samples of each second are for the plot.
+            for (field, value) in fields.iter().filter(|(field, _)| *field != "seconds") {
+                collect(&join(name, field), value, numbers, side);
+            }
+        }
+        Value::Array(items) => {
+            for item in items {
+                let service = item["service"].as_str().unwrap_or_default();
+                if !service.is_empty() {
+                    collect(&join(name, service), item, numbers, side);
+                }
+            }
+        }
+        Value::Null | Value::Bool(_) | Value::String(_) => {}
+    }
+}
+
+fn set(
+    name: &str,
+    value: Option<f64>,
+    numbers: &mut Vec<ComparedNumber>,
+    side: fn(&mut ComparedNumber) -> &mut Option<f64>,
+) {
+    let index = match numbers.binary_search_by(|number| number.name.as_str().cmp(name)) {
+        Ok(index) => index,
+        Err(index) => {
+            let number = ComparedNumber {
+                name: name.to_owned(),
+                before: None,
+                after: None,
+            };
+            numbers.insert(index, number);
+            index
+        }
+    };
+    *side(&mut numbers[index]) = value;
+}
+
+fn join(name: &str, field: &str) -> String {
+    if name.is_empty() {
+        return field.to_owned();
+    }
+    format!("{name} {field}")
+}
+
+fn compared_row(number: &ComparedNumber) -> String {
+    let change = match (number.before, number.after) {
+        (Some(before), Some(after)) if before != 0.0 => {
+            format!("{:+.1} %", (after / before - 1.0) * 100.0)
+        }
+        (Some(before), Some(after)) if before == after => "same".to_owned(),
+        _ => "-".to_owned(),
+    };
+    let show = |value: Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.3}"));
+    format!(
+        "{:<42}{:>12}{:>12}{:>10}",
+        number.name,
+        show(number.before),
+        show(number.after),
+        change
+    )
+}
--- /dev/null
+++ b/crates/hyssopstair/src/ops/load/faults.rs
@@ -0,0 +1,63 @@
+//! Breaks things by schedule.
+
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
+use crate::ops::load::workload::FaultAction;
+use crate::ops::load::workload::FaultPlan;
+use crate::ops::load::workload::SignalKind;
+
+/// Does one fault when its time has come; returns why it could not be done.
+///
+/// # Errors
+///
+/// Returns a sentence for people when the fault could not be done.
+pub async fn run_fault(fault: &FaultPlan, start: Instant) -> Result<(), String> {
+    let due = start + Duration::from_secs_f64(fault.at);
+    tokio::time::sleep_until(due.into()).await;
+    match &fault.action {
+        FaultAction::Post { url, body } => post(url, body).await,
+        FaultAction::Signal { kind, pid_file } => send_signal(*kind, pid_file),
+    }
+}
+
+async fn post(url: &str, body: &str) -> Result<(), String> {
+    reqwest::Client::new()
+        .post(url)
+        .header("content-type", "application/json")
+        .body(body.to_owned())
+        .send()
+        .await
+        .and_then(reqwest::Response::error_for_status)
+        .map(|_| ())
+        .map_err(|error| error.to_string())
+}
+
+fn send_signal(kind: SignalKind, pid_file: &Path) -> Result<(), String> {
+    let text =
+        fs::read_to_string(pid_file).map_err(|error| format!("{}: {error}", pid_file.display()))?;
+    let pid: i32 = text
+        .trim()
+        .parse()
+        .map_err(|_| format!("{} holds no process id", pid_file.display()))?;
+    // Zero and negative ids name groups of processes.
+    if pid <= 1 {
+        return Err(format!("{} holds no id of one process", pid_file.display()));
+    }
+    kill(Pid::from_raw(pid), signal(kind)).map_err(|error| error.to_string())
+}
+
+fn signal(kind: SignalKind) -> Signal {
+    match kind {
+        SignalKind::Kill => Signal::SIGKILL,
+        SignalKind::Terminate => Signal::SIGTERM,
+        SignalKind::Stop => Signal::SIGSTOP,
+        SignalKind::Continue => Signal::SIGCONT,
+    }
+}
--- a/crates/hyssopstair/src/ops/load/feeds.rs
+++ b/crates/hyssopstair/src/ops/load/feeds.rs
@@ -1,46 +1,52 @@
 //! Holds feeds open.
 
-use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 
 use crate::ops::load::caller::AnswerStream;
 use crate::ops::load::caller::CallerError;
-use crate::ops::load::caller::CallerPool;
 use crate::ops::load::caller::read_chunk;
-use crate::ops::load::report::LoadTally;
+use crate::ops::load::groups::LoadRun;
+use crate::ops::load::workload::FeedLoad;
 use crate::ops::load::workload::ServiceLoad;
 
-/// Holds one feed open for `time` and counts it as broken if it ends before.
-pub async fn hold_feed(
-    pool: CallerPool,
-    service: ServiceLoad,
-    number: u32,
-    time: Duration,
-    tally: Arc<LoadTally>,
-) {
-    let flow = match pool.connect(&service.name, service.address).await {
+/// Holds one feed open until the load ends, and counts it as broken each time
+/// that it ends before it should. A broken feed is opened again.
+pub async fn hold_feed(run: LoadRun, service: ServiceLoad, group: FeedLoad, number: u32) {
+    let end = run.start + run.time;
+    let life = group.reconnect_seconds.map(Duration::from_secs_f64);
+    let mut opening = 0;
+    while Instant::now() < end {
+        let left = end.saturating_duration_since(Instant::now());
+        let time = life.map_or(left, |life| life.min(left));
+        let name = format!("feed-{number}-{opening}-{}", run.name);
+        hold_once(&run, &service, &name, time).await;
+        opening += 1;
+    }
+}
+
+async fn hold_once(run: &LoadRun, service: &ServiceLoad, name: &str, time: Duration) {
+    let flow = match run.pool.connect(&service.name, service.address).await {
         Ok(flow) => flow,
         Err(error) => {
-            tally.flow_refused(&error);
+            run.tally.flow_refused(&error);
             return;
         }
     };
-    tally.flow_opened();
-    let name = format!("feed-{number}");
-    let path = format!("/feed/{name}");
-    let answer = flow.ask("GET", &path, "", Bytes::new()).await;
-    let result = match answer {
-        Ok((head, mut stream)) if head.status().is_success() => {
-            tokio::time::timeout(time, read_lines(&mut stream, &name)).await
+    run.tally.flow_opened();
+    let reading = async {
+        let path = format!("/feed/{name}");
+        let (head, mut stream) = flow.ask("GET", &path, "", Bytes::new()).await?;
+        if !head.status().is_success() {
+            return Err(CallerError(format!("status {}", head.status())));
         }
-        Ok((head, _)) => Ok(Err(CallerError(format!("status {}", head.status())))),
-        Err(error) => Ok(Err(error)),
+        read_lines(&mut stream, name).await
     };
-    // The time has passed while the feed was open: that is the good end.
-    if let Ok(Err(error)) = result {
-        tally.flow_broken(&error);
+    // The time passes while the feed is open: that is the good end.
+    if let Ok(Err(error)) = tokio::time::timeout(time, reading).await {
+        run.tally.flow_broken("feed", &error);
     }
 }
 
--- a/crates/hyssopstair/src/ops/load/mod.rs
+++ b/crates/hyssopstair/src/ops/load/mod.rs
@@ -1,55 +1,142 @@
 //! Asks services as callers do.
 //!
-//! [`workload`] says what is asked, [`caller`] holds a flow, [`feeds`] and
-//! [`requests`] ask, and [`report`] tells what came of it.
+//! [`workload`] says what is asked and broken, [`arrivals`] when; [`caller`]
+//! holds a flow, [`groups`] and [`requests`] ask requests, [`feeds`] holds feeds
+//! open, [`faults`] breaks things. [`tally`] counts, [`backends`] asks the
+//! backend servers what they saw, [`report`] puts both together, [`plot`] draws
+//! it, and [`compare`] sets two reports side by side.
 
+pub mod arrivals;
+pub mod backends;
 pub mod caller;
+pub mod compare;
+pub mod faults;
 pub mod feeds;
+pub mod groups;
+pub mod plot;
 pub mod report;
 pub mod requests;
+pub mod tally;
 pub mod workload;
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use error_stack::Report;
+use tokio::task::JoinHandle;
 
 use crate::error::CommandError;
+use crate::ops::load::backends::collect_backends;
 use crate::ops::load::caller::CallerPool;
+use crate::ops::load::groups::LoadRun;
+use crate::ops::load::report::FaultRecord;
 use crate::ops::load::report::LoadReport;
-use crate::ops::load::report::LoadTally;
+use crate::ops::load::tally::LoadTally;
+use crate::ops::load::workload::FaultPlan;
+use crate::ops::load::workload::FeedLoad;
 use crate::ops::load::workload::LoadWorkload;
+use crate::ops::load::workload::ServiceLoad;
 
-/// Runs a workload and reports.
+/// Time between two lines about progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Runs a workload and reports; `progress` is given a line each second.
 ///
 /// # Errors
 ///
-/// Returns an error when the certificate cannot be used or a backend server
-/// does not report.
-pub async fn run_load(workload: &LoadWorkload) -> Result<LoadReport, Report<CommandError>> {
+/// Returns an error when the certificate cannot be used, or when a backend
+/// server does not report although nothing was broken.
+pub async fn run_load(
+    workload: &LoadWorkload,
+    progress: impl Fn(String) + Send + 'static,
+) -> Result<LoadReport, Report<CommandError>> {
     let pool = CallerPool::open(&workload.certificate)?;
-    let tally = Arc::new(LoadTally::default());
-    let time = Duration::from_secs_f64(workload.seconds);
+    let is_lenient = !workload.faults.is_empty();
+    let before = collect_backends(&workload.services, is_lenient).await?;
+    let start = Instant::now();
+    let tally = Arc::new(LoadTally::new(start));
+    let run = LoadRun {
+        pool,
+        tally: tally.clone(),
+        start,
+        time: Duration::from_secs_f64(workload.seconds),
+        ramp_seconds: workload.ramp_seconds,
+        traced: workload.traced,
+        name: format!("{:08x}", rand::random::<u32>()),
+    };
+    let printer = tokio::spawn(print_progress(tally.clone(), progress));
+    let faults = spawn_faults(&workload.faults, start);
+    let tasks = spawn_callers(workload, &run);
+    for task in tasks {
+        let _ = task.await;
+    }
+    let faults = futures::future::join_all(faults).await;
+    let faults = faults.into_iter().flatten().collect();
+    printer.abort();
+    let after = collect_backends(&workload.services, is_lenient).await?;
+    let pairs = after.iter().zip(&before);
+    let seen: Vec<_> = pairs.map(|(after, before)| after.since(before)).collect();
+    Ok(LoadReport::build(workload, &tally, &seen, faults))
+}
+
+fn spawn_callers(workload: &LoadWorkload, run: &LoadRun) -> Vec<JoinHandle<()>> {
     let mut tasks = Vec::new();
+    let mut seed = workload.seed;
     for service in &workload.services {
-        for number in 0..service.feeds {
-            let task = feeds::hold_feed(pool.clone(), service.clone(), number, time, tally.clone());
+        spawn_feeds(service, run, &mut tasks);
+        for group in &service.requests {
+            // Each group has arrivals of its own.
+            seed = seed.wrapping_add(2);
+            let task = groups::run_group(run.clone(), service.clone(), group.clone(), seed);
             tasks.push(tokio::spawn(task));
         }
-        for group in &service.requests {
-            let task = requests::run_group(
-                pool.clone(),
-                service.clone(),
-                group.clone(),
-                time,
-                tally.clone(),
-            );
+    }
+    tasks
+}
+
+fn spawn_feeds(service: &ServiceLoad, run: &LoadRun, tasks: &mut Vec<JoinHandle<()>>) {
+    let plain = FeedLoad {
+        count: service.feeds,
+        reconnect_seconds: None,
+    };
+    let mut number = 0;
+    for group in std::iter::once(&plain).chain(&service.feed_groups) {
+        for _ in 0..group.count {
+            number += 1;
+            let task = feeds::hold_feed(run.clone(), service.clone(), group.clone(), number);
             tasks.push(tokio::spawn(task));
         }
     }
-    for task in tasks {
-        let _ = task.await;
+}
+
+fn spawn_faults(faults: &[FaultPlan], start: Instant) -> Vec<JoinHandle<FaultRecord>> {
+    let tasks = faults.iter().cloned().map(|fault| {
+        tokio::spawn(async move {
+            let error = faults::run_fault(&fault, start).await.err();
+            FaultRecord {
+                name: fault.name,
+                at: fault.at,
+                error,
+            }
+        })
+    });
+    tasks.collect()
+}
+
+async fn print_progress(tally: Arc<LoadTally>, progress: impl Fn(String)) {
+    let mut interval = tokio::time::interval(PROGRESS_INTERVAL);
+    interval.tick().await;
+    for second in 1.. {
+        interval.tick().await;
+        let counts = tally.counts();
+        progress(format!(
+            "{second:>4} s: {} done, {} not run, {} may have run; flows: {} opened, {} broken",
+            counts.done,
+            counts.not_run,
+            counts.may_have_run,
+            counts.flows_opened,
+            counts.flows_broken
+        ));
     }
-    let backends = report::collect_backends(&workload.services).await?;
-    Ok(LoadReport::build(&tally, &backends))
 }
--- a/crates/hyssopstair/src/ops/load/report.rs
+++ b/crates/hyssopstair/src/ops/load/report.rs
@@ -1,184 +1,27 @@
 //! What came of a load.
 
-use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::time::Duration;
-
-use error_stack::Report;
-use error_stack::ResultExt;
-use hdrhistogram::Histogram;
-use serde::Deserialize;
 use serde::Serialize;
 
-use crate::error::CommandError;
-use crate::error::FailureKind;
-use crate::ops::load::caller::CallerError;
-use crate::ops::load::caller::WholeAnswer;
-use crate::ops::load::workload::ServiceLoad;
-
-/// Name of the response header that carries the verdict.
-const VERDICT_HEADER: &str = "hyssopstair-verdict";
-
-/// Digits of a latency that are kept.
-const LATENCY_DIGITS: u8 = 3;
-
-#[derive(Debug)]
-struct TallyState {
-    counts: LoadCounts,
-    latency: Histogram<u64>,
-    errors: Vec<String>,
-}
-
-/// Counts of one load.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub struct LoadCounts {
-    /// Requests that were sent.
-    pub requests_asked: u64,
-    /// Requests whose whole answer came.
-    pub done: u64,
-    /// Requests that were refused before they ran.
-    pub not_run: u64,
-    /// Requests of which nobody knows.
-    pub may_have_run: u64,
-    /// Answers that were not the request's own.
-    pub wrong_answers: u64,
-    /// Flows that opened.
-    pub flows_opened: u64,
-    /// Flows that could not be opened.
-    pub flows_refused: u64,
-    /// Flows that ended before their time.
-    pub flows_broken: u64,
-}
-
-/// Counts while a load runs.
-#[derive(Debug)]
-pub struct LoadTally {
-    state: Mutex<TallyState>,
-}
-
-impl Default for LoadTally {
-    fn default() -> Self {
-        let latency = Histogram::new(LATENCY_DIGITS).expect("3 digits are allowed");
-        Self {
-            state: Mutex::new(TallyState {
-                counts: LoadCounts::default(),
-                latency,
-                errors: Vec::new(),
-            }),
-        }
-    }
-}
-
-impl LoadTally {
-    fn lock(&self) -> MutexGuard<'_, TallyState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Counts a flow that opened.
-    pub fn flow_opened(&self) {
-        self.lock().counts.flows_opened += 1;
-    }
-
-    /// Counts a flow that could not be opened.
-    pub fn flow_refused(&self, error: &CallerError) {
-        let mut state = self.lock();
-        state.counts.flows_refused += 1;
-        state.errors.push(format!("open: {error}"));
-    }
-
-    /// Counts a flow that ended before its time.
-    pub fn flow_broken(&self, error: &CallerError) {
-        let mut state = self.lock();
-        state.counts.flows_broken += 1;
-        state.errors.push(format!("feed: {error}"));
-    }
-
-    /// Counts a request that was answered.
-    pub fn answered(&self, answer: &WholeAnswer, latency: Duration, is_right: bool) {
-        let mut state = self.lock();
-        state.counts.requests_asked += 1;
-        let verdict = answer
-            .head
-            .headers()
-            .get(VERDICT_HEADER)
-            .and_then(|value| value.to_str().ok());
-        match verdict {
-            Some("not-run") => state.counts.not_run += 1,
-            Some("done") => {
-                state.counts.done += 1;
-                let _ = state.latency.record(latency.as_micros() as u64);
-            }
-            _ => state.counts.may_have_run += 1,
-        }
-        if !is_right {
-            state.counts.wrong_answers += 1;
-        }
-    }
-
-    /// Counts a request that got no answer.
-    pub fn unanswered(&self, error: &CallerError) {
-        let mut state = self.lock();
-        state.counts.requests_asked += 1;
-        state.counts.may_have_run += 1;
-        state.errors.push(format!("request: {error}"));
-    }
-}
-
-#[derive(Debug, Deserialize)]
-struct RunRecord {
-    request: String,
-}
-
-/// What a backend server has seen.
-#[derive(Debug, Deserialize)]
-pub struct BackendReport {
-    service: String,
-    runs: Vec<RunRecord>,
-    misdelivered: u64,
-    feeds: u64,
-}
-
-/// Asks the backend servers what they have seen.
-///
-/// # Errors
-///
-/// Returns an error when one does not answer.
-pub async fn collect_backends(
-    services: &[ServiceLoad],
-) -> Result<Vec<BackendReport>, Report<CommandError>> {
-    let mut reports = Vec::new();
-    for address in services.iter().flat_map(|service| &service.backends) {
-        reports.push(collect_one(*address).await?);
-    }
-    Ok(reports)
-}
-
-async fn collect_one(address: SocketAddr) -> Result<BackendReport, Report<CommandError>> {
-    let context = || {
-        CommandError::new(
-            FailureKind::Service,
-            format!("backend server {address} does not report"),
-        )
-    };
-    reqwest::get(format!("http://{address}/report"))
-        .await
-        .change_context_lazy(context)?
-        .json()
-        .await
-        .change_context_lazy(context)
-}
-
-/// How evenly the backend servers of a service were used.
+use crate::ops::load::backends::BackendReport;
+use crate::ops::load::backends::ServiceImbalance;
+use crate::ops::load::backends::count_doubled;
+use crate::ops::load::backends::measure_imbalance;
+use crate::ops::load::backends::sum_work;
+use crate::ops::load::backends::work_of;
+use crate::ops::load::tally::LoadCounts;
+use crate::ops::load::tally::LoadTally;
+use crate::ops::load::tally::SecondSample;
+use crate::ops::load::workload::LoadWorkload;
+
+/// A fault that was done, or why it was not.
 #[derive(Debug, Clone, Serialize)]
-pub struct ServiceImbalance {
-    /// The service.
-    pub service: String,
-    /// Runs and feeds per backend server: highest over mean.
-    pub max_over_mean: f64,
-    /// Runs and feeds per backend server: standard deviation over mean.
-    pub variation: f64,
+pub struct FaultRecord {
+    /// The name.
+    pub name: String,
+    /// When, in seconds after the start.
+    pub at: f64,
+    /// Why it could not be done.
+    pub error: Option<String>,
 }
 
 /// What came of a load.
@@ -187,10 +30,13 @@
     /// The counts.
     #[serde(flatten)]
     pub counts: LoadCounts,
-    /// Requests that change something and ran more than once.
+    /// Runs beyond the first of requests that may run once only.
     pub doubled: u64,
     /// Requests that reached a wrong service.
     pub wrong_service: u64,
+    /// Work of all runs over the work of all completed requests; a request that
+    /// may run once only counts twice.
+    pub service_per_completed: f64,
     /// How evenly each service was used.
     pub imbalance: Vec<ServiceImbalance>,
     /// Median latency in milliseconds.
@@ -199,37 +45,51 @@
     pub p99_millis: f64,
     /// 99.9th percentile of the latency in milliseconds.
     pub p999_millis: f64,
+    /// The faults.
+    pub faults: Vec<FaultRecord>,
+    /// What came of the requests that were due in each second.
+    pub seconds: Vec<SecondSample>,
     /// The first errors.
     pub errors: Vec<String>,
 }
 
-/// Errors that are kept in a report.
-const KEPT_ERRORS: usize = 5;
-
 impl LoadReport {
     /// Puts the counts and the backend servers' logs together.
-    pub fn build(tally: &LoadTally, backends: &[BackendReport]) -> Self {
-        let state = tally.lock();
-        let percentile = |quantile: f64| state.latency.value_at_quantile(quantile) as f64 / 1_000.0;
+    pub fn build(
+        workload: &LoadWorkload,
+        tally: &LoadTally,
+        backends: &[BackendReport],
+        faults: Vec<FaultRecord>,
+    ) -> Self {
+        let counts = tally.counts();
+        let is_once = |request: &str| is_once(workload, request);
+        let completed =
+            (counts.done - counts.done_once) * work_of(false) + counts.done_once * work_of(true);
+        let work = sum_work(backends, is_once);
         Self {
-            counts: state.counts,
-            doubled: count_doubled(backends),
+            counts,
+            doubled: count_doubled(backends, is_once),
             wrong_service: backends.iter().map(|backend| backend.misdelivered).sum(),
+            service_per_completed: work as f64 / completed.max(1) as f64,
             imbalance: measure_imbalance(backends),
-            p50_millis: percentile(0.5),
-            p99_millis: percentile(0.99),
-            p999_millis: percentile(0.999),
-            errors: state.errors.iter().take(KEPT_ERRORS).cloned().collect(),
+            p50_millis: tally.latency_millis(0.5),
+            p99_millis: tally.latency_millis(0.99),
+            p999_millis: tally.latency_millis(0.999),
+            faults,
+            seconds: tally.seconds(),
+            errors: tally.errors(),
         }
     }
 
-    /// Returns whether nothing broke, ran twice or went astray.
+    /// Returns whether nothing broke, ran twice or went astray, and every fault
+    /// was done.
     pub fn is_clean(&self) -> bool {
         self.counts.flows_broken == 0
             && self.counts.flows_refused == 0
             && self.counts.wrong_answers == 0
             && self.doubled == 0
             && self.wrong_service == 0
+            && self.faults.iter().all(|fault| fault.error.is_none())
     }
 
     /// Returns the report as one line of JSON.
@@ -251,69 +111,52 @@
             row("  broken", counts.flows_broken),
             row("run more than once", self.doubled),
             row("at a wrong service", self.wrong_service),
+            format!("service per completed  {:>9.3}", self.service_per_completed),
             format!(
                 "latency p50, p99, p99.9    {:.1}  {:.1}  {:.1} ms",
                 self.p50_millis, self.p99_millis, self.p999_millis
             ),
         ];
-        lines.extend(self.imbalance.iter().map(|item| {
-            format!(
-                "imbalance {:<16} max/mean {:.3}  variation {:.3}",
-                item.service, item.max_over_mean, item.variation
-            )
-        }));
+        lines.extend(self.imbalance.iter().flat_map(imbalance_rows));
+        lines.extend(self.faults.iter().map(fault_row));
+        lines.extend(self.errors.iter().map(|error| format!("error {error}")));
         lines
     }
 }
 
-fn row(name: &str, count: u64) -> String {
-    format!("{name:<22}{count:>9}")
+/// Returns whether a request of a run log may run once only.
+fn is_once(workload: &LoadWorkload, request: &str) -> bool {
+    let groups = workload.services.iter().flat_map(|item| &item.requests);
+    groups.filter(|group| !group.is_idempotent()).any(|group| {
+        let rest = request
+            .strip_prefix(group.method.as_str())
+            .and_then(|rest| rest.strip_prefix(' '))
+            .and_then(|rest| rest.strip_prefix(group.path.as_str()));
+        rest.is_some_and(|rest| rest.starts_with('/'))
+    })
 }
 
-fn count_doubled(backends: &[BackendReport]) -> u64 {
-    let mut keys: Vec<&str> = backends
-        .iter()
-        .flat_map(|backend| &backend.runs)
-        .filter(|run| run.request.starts_with("POST"))
-        .map(|run| run.request.as_str())
-        .collect();
-    keys.sort_unstable();
-    keys.windows(2).filter(|pair| pair[0] == pair[1]).count() as u64
+fn row(name: &str, count: u64) -> String {
+    format!("{name:<22}{count:>10}")
 }
 
-fn measure_imbalance(backends: &[BackendReport]) -> Vec<ServiceImbalance> {
-    let mut names: Vec<&str> = backends
-        .iter()
-        .map(|backend| backend.service.as_str())
-        .collect();
-    names.sort_unstable();
-    names.dedup();
-    names
+fn imbalance_rows(item: &ServiceImbalance) -> Vec<String> {
+    let parts = [("requests", item.requests), ("feeds", item.feeds)];
+    parts
         .into_iter()
-        .map(|name| service_imbalance(name, backends))
+        .filter(|(_, spread)| spread.max_over_mean > 0.0)
+        .map(|(part, spread)| {
+            format!(
+                "imbalance {:<14} {part:<8}  max/mean {:.3}  variation {:.3}",
+                item.service, spread.max_over_mean, spread.variation
+            )
+        })
         .collect()
 }
 
-fn service_imbalance(name: &str, backends: &[BackendReport]) -> ServiceImbalance {
-    let loads: Vec<f64> = backends
-        .iter()
-        .filter(|backend| backend.service == name)
-        .map(|backend| backend.runs.len() as f64 + backend.feeds as f64)
-        .collect();
-    let count = loads.len() as f64;
-    let mean = loads.iter().sum::<f64>() / count;
-    let max = loads.iter().copied().fold(0.0, f64::max);
-    let variance = loads.iter().map(|load| (load - mean).powi(2)).sum::<f64>() / count;
-    if mean == 0.0 {
-        return ServiceImbalance {
-            service: name.to_owned(),
-            max_over_mean: 0.0,
-            variation: 0.0,
-        };
-    }
-    ServiceImbalance {
-        service: name.to_owned(),
-        max_over_mean: max / mean,
-        variation: variance.sqrt() / mean,
+fn fault_row(fault: &FaultRecord) -> String {
+    match &fault.error {
+        None => format!("fault at {:.1} s: {}", fault.at, fault.name),
+        Some(error) => format!("fault at {:.1} s: {} failed: {error}", fault.at, fault.name),
     }
 }
--- a/crates/hyssopstair/src/ops/load/requests.rs
+++ b/crates/hyssopstair/src/ops/load/requests.rs
@@ -1,4 +1,4 @@
-//! Asks requests at a fixed rate.
+//! Asks one request.
 //!
 //! A request that changes something carries a ticket. Tickets come with
 //! answers, belong to the flow that they came on, and are used once; after a
@@ -15,11 +15,10 @@
 
 use crate::ops::load::caller::CallerError;
 use crate::ops::load::caller::CallerFlow;
-use crate::ops::load::caller::CallerPool;
 use crate::ops::load::caller::WholeAnswer;
-use crate::ops::load::report::LoadTally;
+use crate::ops::load::caller::read_whole;
+use crate::ops::load::tally::LoadTally;
 use crate::ops::load::workload::RequestLoad;
-use crate::ops::load::workload::ServiceLoad;
 
 /// Body of a request that changes something.
 const BODY: &[u8] = b"one registration";
@@ -27,24 +26,57 @@
 /// Response header that carries a ticket.
 const TICKET_HEADER: &str = "hyssopstair-ticket";
 
+/// Request header that gives the time that a caller waits, in milliseconds.
+const DEADLINE_HEADER: &str = "hyssopstair-deadline";
+
+/// Request header that carries the W3C trace context.
+const TRACE_HEADER: &str = "traceparent";
+
+/// Time after the deadline in which a final answer may still arrive.
+const DEADLINE_GRACE: Duration = Duration::from_millis(500);
+
 /// Tries of one request, the first one included.
 const MAX_TRIES: usize = 4;
 
 /// A flow and the tickets that came on it.
 #[derive(Clone)]
-struct TicketFlow {
+pub struct TicketFlow {
     flow: CallerFlow,
     tickets: Arc<Mutex<Vec<String>>>,
 }
 
 impl TicketFlow {
-    fn new(flow: CallerFlow) -> Self {
+    /// Wraps a flow that has no tickets yet.
+    pub fn new(flow: CallerFlow) -> Self {
         Self {
             flow,
             tickets: Arc::default(),
         }
     }
 
+    /// Returns why the flow has ended, if it has.
+    pub fn end_reason(&self) -> Option<CallerError> {
+        self.flow.end_reason()
+    }
+
+    /// Sends a request with its deadline and trace, and waits for the answer.
+    async fn ask(&self, request: &LoadRequest) -> Result<WholeAnswer, CallerError> {
+        let mut builder = self
+            .flow
+            .request(&request.method, &request.path, &request.key);
+        if let Some(millis) = request.deadline_millis {
+            builder = builder.header(DEADLINE_HEADER, millis);
+        }
+        if let Some(trace) = &request.trace {
+            builder = builder.header(TRACE_HEADER, trace);
+        }
+        let head = builder
+            .body(())
+            .map_err(|error| CallerError(error.to_string()))?;
+        let (head, stream) = self.flow.send(head, request.body.clone()).await?;
+        read_whole(head, stream).await
+    }
+
     /// Returns a ticket, or an empty text when there is none yet.
     fn take_ticket(&self) -> String {
         let mut tickets = self.tickets.lock().unwrap_or_else(PoisonError::into_inner);
@@ -64,73 +96,63 @@
     path: String,
     key: String,
     body: Bytes,
+    deadline_millis: Option<u64>,
+    trace: Option<String>,
 }
 
-/// Asks the requests of one kind for `time`.
-pub async fn run_group(
-    pool: CallerPool,
-    service: ServiceLoad,
-    group: RequestLoad,
-    time: Duration,
-    tally: Arc<LoadTally>,
-) {
-    let mut flows = Vec::new();
-    for _ in 0..group.flows {
-        match pool.connect(&service.name, service.address).await {
-            Ok(flow) => {
-                tally.flow_opened();
-                flows.push(TicketFlow::new(flow));
-            }
-            Err(error) => tally.flow_refused(&error),
-        }
-    }
-    if flows.is_empty() {
-        return;
-    }
-    let mut interval = tokio::time::interval(Duration::from_secs_f64(1.0 / group.rate));
-    let end = Instant::now() + time;
-    let mut tasks = Vec::new();
-    let mut number = 0;
-    while Instant::now() < end {
-        interval.tick().await;
-        let flow = flows[number % flows.len()].clone();
-        let other = flows[(number + 1) % flows.len()].clone();
-        let task = ask_one(flow, other, group.clone(), number, tally.clone());
-        tasks.push(tokio::spawn(task));
-        number += 1;
-    }
-    for task in tasks {
-        let _ = task.await;
-    }
+/// A request that is due.
+#[derive(Debug)]
+pub struct RequestPlan {
+    /// The group that it belongs to.
+    pub group: RequestLoad,
+    /// A name unlike that of any other request, so that the run logs of the
+    /// backend servers show whether it ran twice.
+    pub name: String,
+    /// When it is sent.
+    pub due: Instant,
+    /// Its trace context.
+    pub trace: Option<String>,
 }
 
-async fn ask_one(
+/// Asks one request and counts what comes of it; its latency counts from the
+/// time when it was due.
+pub async fn ask_one(
     flow: TicketFlow,
     other: TicketFlow,
-    group: RequestLoad,
-    number: usize,
+    plan: RequestPlan,
     tally: Arc<LoadTally>,
 ) {
-    let changes = group.method == "POST";
-    // The name is unlike that of any other request, so that the run logs of
-    // the backend servers show whether it ran twice.
+    let has_body = plan.group.method == "POST";
     let mut request = LoadRequest {
-        path: format!("{}/{number}-{:016x}", group.path, rand::random::<u64>()),
-        method: group.method,
+        path: format!("{}/{}", plan.group.path, plan.name),
+        method: plan.group.method.clone(),
         key: String::new(),
-        body: Bytes::from_static(if changes { BODY } else { b"" }),
+        body: Bytes::from_static(if has_body { BODY } else { b"" }),
+        deadline_millis: plan.group.deadline_millis,
+        trace: plan.trace,
     };
-    let start = Instant::now();
-    let answer = if changes {
-        ask_with_ticket(&flow, &other, &mut request).await
-    } else {
-        flow.flow
-            .ask_whole(&request.method, &request.path, "", Bytes::new())
-            .await
+    let is_once = !plan.group.is_idempotent();
+    let asking = async {
+        if is_once {
+            ask_with_ticket(&flow, &other, &mut request).await
+        } else {
+            flow.ask(&request).await
+        }
+    };
+    let answer = match plan.group.deadline_millis {
+        Some(millis) => {
+            let wait = Duration::from_millis(millis) + DEADLINE_GRACE;
+            let late = Err(CallerError("no answer at the deadline".to_owned()));
+            tokio::time::timeout(wait, asking).await.unwrap_or(late)
+        }
+        None => asking.await,
     };
     match answer {
-        Ok(answer) => tally.answered(&answer, start.elapsed(), is_right(&request, &answer)),
-        Err(error) => tally.unanswered(&error),
+        Ok(answer) => {
+            let is_right = is_right(&request, &answer);
+            tally.answered(&answer, plan.due, is_once, is_right);
+        }
+        Err(error) => tally.unanswered(&error, plan.due),
     }
 }
 
@@ -144,11 +166,7 @@
     request.key = flow.take_ticket();
     let mut last = Err(CallerError("the request was not sent".to_owned()));
     for _ in 0..MAX_TRIES {
-        let body = request.body.clone();
-        last = flow
-            .flow
-            .ask_whole(&request.method, &request.path, &request.key, body)
-            .await;
+        last = flow.ask(request).await;
         match &last {
             Ok(answer) => {
                 flow.keep_tickets(answer);
--- /dev/null
+++ b/crates/hyssopstair/src/ops/load/tally.rs
@@ -0,0 +1,238 @@
+//! Counts while a load runs.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::ops::load::caller::CallerError;
+use crate::ops::load::caller::WholeAnswer;
+
+/// Name of the response header that carries the verdict.
+const VERDICT_HEADER: &str = "hyssopstair-verdict";
+
+/// Digits of a latency that are kept.
+const LATENCY_DIGITS: u8 = 3;
+
+/// Errors that are kept.
+const KEPT_ERRORS: usize = 5;
+
+/// Counts of one load.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct LoadCounts {
+    /// Requests that were due.
+    pub requests_asked: u64,
+    /// Requests whose whole answer came.
+    pub done: u64,
+    /// Of these, the ones that may run once only.
+    pub done_once: u64,
+    /// Requests that were refused before they ran.
+    pub not_run: u64,
+    /// Requests of which nobody knows.
+    pub may_have_run: u64,
+    /// Answers that were not the request's own.
+    pub wrong_answers: u64,
+    /// Flows that opened.
+    pub flows_opened: u64,
+    /// Flows that could not be opened.
+    pub flows_refused: u64,
+    /// Flows that ended before their time.
+    pub flows_broken: u64,
+}
+
+/// What came of the requests that were due in one second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct SecondSample {
+    /// Requests whose whole answer came.
+    pub done: u64,
+    /// Requests that were refused before they ran.
+    pub not_run: u64,
+    /// Requests of which nobody knows.
+    pub may_have_run: u64,
+    /// Median latency in milliseconds.
+    pub p50_millis: f64,
+    /// 99th percentile of the latency in milliseconds.
+    pub p99_millis: f64,
+}
+
+#[derive(Debug)]
+struct SecondTally {
+    sample: SecondSample,
+    latency: Histogram<u64>,
+}
+
+#[derive(Debug)]
+struct TallyState {
+    counts: LoadCounts,
+    latency: Histogram<u64>,
+    seconds: Vec<SecondTally>,
+    errors: Vec<String>,
+}
+
+/// What is known of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RequestEnd {
+    Done,
+    NotRun,
+    MayHaveRun,
+}
+
+/// Counts while a load runs.
+#[derive(Debug)]
+pub struct LoadTally {
+    start: Instant,
+    state: Mutex<TallyState>,
+}
+
+impl LoadTally {
+    /// Creates counts of a load that starts at `start`.
+    pub fn new(start: Instant) -> Self {
+        Self {
+            start,
+            state: Mutex::new(TallyState {
+                counts: LoadCounts::default(),
+                latency: new_histogram(),
+                seconds: Vec::new(),
+                errors: Vec::new(),
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TallyState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the counts so far.
+    pub fn counts(&self) -> LoadCounts {
+        self.lock().counts
+    }
+
+    /// Returns the first errors.
+    pub fn errors(&self) -> Vec<String> {
+        self.lock().errors.clone()
+    }
+
+    /// Returns the latency in milliseconds that a share of the answers kept to.
+    pub fn latency_millis(&self, quantile: f64) -> f64 {
+        millis(&self.lock().latency, quantile)
+    }
+
+    /// Returns what came of the requests, by the second in which each was due.
+    pub fn seconds(&self) -> Vec<SecondSample> {
+        let state = self.lock();
+        let samples = state.seconds.iter().map(|second| SecondSample {
+            p50_millis: millis(&second.latency, 0.5),
+            p99_millis: millis(&second.latency, 0.99),
+            ..second.sample
+        });
+        samples.collect()
+    }
+
+    /// Counts a flow that opened.
+    pub fn flow_opened(&self) {
+        self.lock().counts.flows_opened += 1;
+    }
+
+    /// Counts a flow that could not be opened.
+    pub fn flow_refused(&self, error: &CallerError) {
+        let mut state = self.lock();
+        state.counts.flows_refused += 1;
+        state.keep_error(format!("open: {error}"));
+    }
+
+    /// Counts a flow that ended before its time.
+    pub fn flow_broken(&self, part: &str, error: &CallerError) {
+        let mut state = self.lock();
+        state.counts.flows_broken += 1;
+        state.keep_error(format!("{part}: {error}"));
+    }
+
+    /// Counts a request that was answered; its latency counts from `due`.
+    pub fn answered(&self, answer: &WholeAnswer, due: Instant, is_once: bool, is_right: bool) {
+        let verdict = answer
+            .head
+            .headers()
+            .get(VERDICT_HEADER)
+            .and_then(|value| value.to_str().ok());
+        let end = match verdict {
+            Some("not-run") => RequestEnd::NotRun,
+            Some("done") => RequestEnd::Done,
+            _ => RequestEnd::MayHaveRun,
+        };
+        let mut state = self.lock();
+        state.count(end, self.second(due), due.elapsed());
+        if end == RequestEnd::Done && is_once {
+            state.counts.done_once += 1;
+        }
+        if !is_right {
+            state.counts.wrong_answers += 1;
+            state.keep_error("request: the answer is another's".to_owned());
+        }
+    }
+
+    /// Counts a request that got no answer.
+    pub fn unanswered(&self, error: &CallerError, due: Instant) {
+        let mut state = self.lock();
+        state.count(RequestEnd::MayHaveRun, self.second(due), due.elapsed());
+        state.keep_error(format!("request: {error}"));
+    }
+
+    /// Counts a request that was due and could not be sent.
+    pub fn unsent(&self, due: Instant, reason: &str) {
+        let mut state = self.lock();
+        state.count(RequestEnd::NotRun, self.second(due), Duration::ZERO);
+        state.keep_error(format!("request: {reason}"));
+    }
+
+    fn second(&self, due: Instant) -> usize {
+        due.saturating_duration_since(self.start).as_secs() as usize
+    }
+}
+
+impl TallyState {
+    fn count(&mut self, end: RequestEnd, second: usize, latency: Duration) {
+        while self.seconds.len() <= second {
+            self.seconds.push(SecondTally {
+                sample: SecondSample::default(),
+                latency: new_histogram(),
+            });
+        }
+        let second = &mut self.seconds[second];
+        self.counts.requests_asked += 1;
+        match end {
+            RequestEnd::Done => {
+                self.counts.done += 1;
+                second.sample.done += 1;
+                let micros = latency.as_micros() as u64;
+                let _ = self.latency.record(micros);
+                let _ = second.latency.record(micros);
+            }
+            RequestEnd::NotRun => {
+                self.counts.not_run += 1;
+                second.sample.not_run += 1;
+            }
+            RequestEnd::MayHaveRun => {
+                self.counts.may_have_run += 1;
+                second.sample.may_have_run += 1;
+            }
+        }
+    }
+
+    fn keep_error(&mut self, text: String) {
+        if self.errors.len() < KEPT_ERRORS {
+            self.errors.push(text);
+        }
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new(LATENCY_DIGITS).expect("3 digits are allowed")
+}
+
+fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
--- a/crates/hyssopstaird/src/host/relay.rs
+++ b/crates/hyssopstaird/src/host/relay.rs
@@ -7,7 +7,15 @@
 use hyssopstair_requests::admission::RequestClass;
 use hyssopstair_requests::relay::RelayDecision;
 use hyssopstair_rules::service_rule::ServiceRule;
+use hyssopstair_telemetry::counts::COUNTS;
+use hyssopstair_telemetry::requests::PEER_SPAN;
+use hyssopstair_telemetry::requests::TRACE_HEADER;
+use hyssopstair_telemetry::requests::hop;
+use hyssopstair_telemetry::requests::serve_relayed;
+use hyssopstair_telemetry::requests::trace_header;
 use hyssopstair_wire::address::ProcessId;
+use hyssopstair_wire::peer::BackendCall;
+use hyssopstair_wire::peer::HeaderField;
 use hyssopstair_wire::peer::PeerAnswer;
 use hyssopstair_wire::peer::PeerRequest;
 use hyssopstair_wire::peer::RelayAnswer;
@@ -58,7 +66,24 @@
     {
         return RelayEnd::NotRun;
     }
+    COUNTS.requests_relayed.increment();
+    let answer = hop(PEER_SPAN, ask_peer(state, service, request, peer)).await;
+    let end = read_answer(state, peer, answer);
+    if let (RelayEnd::NotRun, Some(claim)) = (&end, claim) {
+        claim.take_back();
+    }
+    end
+}
+
+async fn ask_peer(
+    state: &HostState,
+    service: &ServiceRule,
+    request: &CallerRequest,
+    peer: ProcessId,
+) -> Result<PeerAnswer, PeerError> {
     let patience = request.deadline.since(state.node.clock.now());
+    let mut call = request.call.clone();
+    name_trace(&mut call);
     let relay = PeerRequest::Relay(Box::new(RelayRequest {
         sender: state.node.me(),
         target: peer,
@@ -66,14 +91,29 @@
         service: service.id,
         is_idempotent: request.class == RequestClass::Idempotent,
         remaining_millis: patience.as_millis() as u32,
-        call: request.call.clone(),
+        call,
     }));
-    let answer = state.peers.ask(peer.address, &relay, patience).await;
-    let end = read_answer(state, peer, answer);
-    if let (RelayEnd::NotRun, Some(claim)) = (&end, claim) {
-        claim.take_back();
+    state.peers.ask(peer.address, &relay, patience).await
+}
+
+/// Puts the present span into a call that another host makes.
+fn name_trace(call: &mut BackendCall) {
+    if let Some(value) = trace_header() {
+        call.headers.retain(|field| field.name != TRACE_HEADER);
+        call.headers.push(HeaderField {
+            name: TRACE_HEADER.to_owned(),
+            value: value.into_bytes(),
+        });
     }
-    end
+}
+
+/// Returns the span that a call of another host belongs to.
+fn named_trace(call: &BackendCall) -> Option<&str> {
+    let field = call
+        .headers
+        .iter()
+        .find(|field| field.name == TRACE_HEADER)?;
+    std::str::from_utf8(&field.value).ok()
 }
 
 fn choose(state: &HostState, service: &ServiceRule, request: &CallerRequest) -> Option<ProcessId> {
@@ -133,7 +173,8 @@
             load_percent: u16::MAX,
         };
     };
-    let outcome = run(state, &service, &request).await;
+    let running = run(state, &service, &request);
+    let outcome = serve_relayed(named_trace(&request.call), running).await;
     RelayAnswer {
         outcome,
         load_percent: slots::load_percent(state, &service),
--- a/crates/hyssopstaird/src/host/slots.rs
+++ b/crates/hyssopstaird/src/host/slots.rs
@@ -12,6 +12,7 @@
 use hyssopstair_requests::admission::SlotEnd;
 use hyssopstair_requests::admission::SlotRequest;
 use hyssopstair_rules::service_rule::ServiceRule;
+use hyssopstair_telemetry::requests::wait_for_admission;
 use hyssopstair_wire::time::MonotonicTime;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::Receiver;
@@ -195,7 +196,7 @@
         (decision, wait)
     };
     let decision = match decision {
-        SlotDecision::Wait => wait_for_slot(&mut wait).await,
+        SlotDecision::Wait => wait_for_admission(wait_for_slot(&mut wait)).await,
         decision => decision,
     };
     match decision {
--- a/crates/telemetry/src/requests.rs
+++ b/crates/telemetry/src/requests.rs
@@ -38,6 +38,12 @@
 /// Name of the span of the call to the backend server.
 pub const BACKEND_SPAN: &str = "backend server call";
 
+/// Name of the span of a request that another host has sent.
+pub const RELAYED_SPAN: &str = "relayed request";
+
+/// Name of the header of the W3C trace context.
+pub const TRACE_HEADER: &str = "traceparent";
+
 /// The verdict of a request whose caller went away before there was one.
 const NO_VERDICT: &str = "abandoned";
 
@@ -130,6 +136,26 @@
     }
 }
 
+/// Returns the trace header that names the present span, when it is sampled.
+pub fn trace_header() -> Option<String> {
+    let mut headers = HeaderMap::new();
+    inject(&mut headers);
+    headers.get(TRACE_HEADER)?.to_str().ok().map(str::to_owned)
+}
+
+/// Runs a request that another host has sent, with a span of its own below the
+/// one that `header` names.
+pub async fn serve_relayed<F: Future>(header: Option<&str>, future: F) -> F::Output {
+    let mut headers = HeaderMap::new();
+    if let Some(value) = header.and_then(|text| text.parse().ok()) {
+        headers.insert(TRACE_HEADER, value);
+    }
+    let parent = propagator().extract(&HeaderExtractor(&headers));
+    let builder = SpanBuilder::from_name(RELAYED_SPAN).with_kind(SpanKind::Server);
+    let span = global::tracer(SCOPE).build_with_context(builder, &parent);
+    future.with_context(parent.with_span(span)).await
+}
+
 fn read_verdict(context: &Context) -> &'static str {
     match context.get::<VerdictCell>() {
         Some(VerdictCell(cell)) => *cell.lock().unwrap_or_else(PoisonError::into_inner),
