--- a/crates/hyssopstaird/tests/traces.rs
+++ b/crates/hyssopstaird/tests/traces.rs
@@ -67,6 +67,39 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waits_and_one_that_is_relayed_show_it() {
+    let (collector, address) = TraceCollector::start().await.unwrap();
+    let mut plan = plan_with_collector(&format!("http://{address}"));
+    plan.work_millis = 200;
+    let fleet = TestFleet::start(plan).await.unwrap();
+    let flow = open_flow(&fleet, "diplomakluis").await;
+    // 3 slots, a queue of 6, and a second host with as much room.
+    let asked = (0..16).map(|_| ask_traced(&flow, "01"));
+    futures::future::join_all(asked).await;
+    fleet
+        .wait_for("the spans of queue and peer", async || {
+            let tree = collector.tree(TRACE, CALLER_SPAN);
+            tree.contains("admission wait") && tree.contains("      backend server call")
+        })
+        .await
+        .unwrap_or_else(|error| panic!("{error}: {}", collector.tree(TRACE, CALLER_SPAN)));
+    let lines = collector.tree(TRACE, CALLER_SPAN);
+    // A balancer's span may still be on its way.
+    let hosts = lines.lines().filter(|line| line.trim() != "balancer");
+    let mut names: Vec<&str> = hosts.collect();
+    names.sort_unstable();
+    names.dedup();
+    expect![[r#"
+              backend server call
+            relayed request
+          admission wait
+          backend server call
+          peer relay
+        request"#]]
+    .assert_eq(&names.join("\n"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_collector_that_cannot_be_reached_delays_nothing() {
     // Port 9 of this address takes no connection.
