Mix hosts into placement without a keyed hash and logarithm for each

Ruled out: a sample of the hosts; then a roster change would move more flows. Change: one keyed hash for the flow and one for each host when the view is built, mixed by the finalizer of SplitMix64; a logarithm only for candidates that may still win.

--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -64,14 +64,15 @@
         members: &[MemberEntry],
     ) -> Self {
         let ring = KeyRing::derive(secret, &rules.keys);
-        let hosts = group_hosts(&rules, members);
+        let placement_secret = secret.derive(b"placement");
+        let hosts = group_hosts(&rules, members, &placement_secret);
         let processes = members.iter().map(known_process).collect();
         let addresses = sort_addresses(&rules);
         Self {
             version,
             rules,
             ring,
-            placement_secret: secret.derive(b"placement"),
+            placement_secret,
             reset_secret: secret.derive(b"reset"),
             addresses,
             hosts,
@@ -144,7 +145,11 @@
     }
 }
 
-fn group_hosts(rules: &RuleSet, members: &[MemberEntry]) -> Vec<ServiceHosts> {
+fn group_hosts(
+    rules: &RuleSet,
+    members: &[MemberEntry],
+    secret: &[u8; SECRET_LENGTH],
+) -> Vec<ServiceHosts> {
     let mut hosts: Vec<ServiceHosts> = rules
         .services
         .iter()
@@ -154,7 +159,7 @@
         })
         .collect();
     for entry in members {
-        let Some((service, candidate)) = candidate(rules, entry) else {
+        let Some((service, candidate)) = candidate(rules, entry, secret) else {
             continue;
         };
         if let Ok(index) = hosts.binary_search_by_key(&service, |item| item.service) {
@@ -164,7 +169,11 @@
     hosts
 }
 
-fn candidate(rules: &RuleSet, entry: &MemberEntry) -> Option<(ServiceId, PlacementCandidate)> {
+fn candidate(
+    rules: &RuleSet,
+    entry: &MemberEntry,
+    secret: &[u8; SECRET_LENGTH],
+) -> Option<(ServiceId, PlacementCandidate)> {
     let MemberRole::Host {
         service,
         zone,
@@ -180,9 +189,7 @@
         return None;
     }
     let zone_weight = rules.service(service)?.weight(zone);
-    let candidate = PlacementCandidate {
-        host: entry.process,
-        weight: zone_weight.saturating_mul(weight.max(1)),
-    };
+    let weight = zone_weight.saturating_mul(weight.max(1));
+    let candidate = PlacementCandidate::new(entry.process, weight, secret);
     Some((service, candidate))
 }
