--- a/crates/hyssopstaird/src/host/ingress.rs
+++ b/crates/hyssopstaird/src/host/ingress.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use hyssopstair_routing::balancer::DropReason;
-use hyssopstair_routing::counts::PacketEvent;
 use hyssopstair_routing::gate::HostAction;
 use hyssopstair_routing::gate::HostGate;
 use hyssopstair_routing::reset::reset_packet;
+use hyssopstair_telemetry::counts::COUNTS;
 use hyssopstair_wire::packet::ForwardHeader;
 use hyssopstair_wire::packet::MAX_PACKET_LENGTH;
 use hyssopstair_wire::packet::PacketKind;
@@ -19,6 +19,7 @@
 use crate::control::configuration;
 use crate::control::gossip;
 use crate::host::state::HostState;
+use crate::telemetry;
 
 /// Tasks that read the inner socket.
 const READERS: usize = 2;
@@ -40,19 +41,14 @@
         match split_kind(&buffer[..length]) {
             Ok((PacketKind::Forward, rest)) => receive(&state, rest, &mut outgoing).await,
             Ok((PacketKind::Control, rest)) => gossip::receive(&state.node, rest).await,
-            Ok((PacketKind::Return, _)) | Err(_) => count_malformed(&state),
+            Ok((PacketKind::Return, _)) | Err(_) => telemetry::count_dropped(DropReason::Malformed),
         }
     }
 }
 
-fn count_malformed(state: &HostState) {
-    let event = PacketEvent::Dropped(DropReason::Malformed);
-    state.node.counts.count(event);
-}
-
 async fn receive(state: &Arc<HostState>, rest: &[u8], outgoing: &mut [u8]) {
     let Ok((header, datagram)) = split_message::<ForwardHeader>(rest) else {
-        count_malformed(state);
+        telemetry::count_dropped(DropReason::Malformed);
         return;
     };
     configuration::hear_version(&state.node, header.balancer, header.version);
@@ -66,25 +62,20 @@
         .get_or_init(|| HostGate::new(state.node.me(), service));
     match gate.receive(&header, datagram, &load, now) {
         HostAction::Accept => {
-            state.node.counts.count(PacketEvent::Accepted);
             state.returns.hear(&header, now);
             state.queue.push(header.caller, datagram.to_vec());
         }
         HostAction::PassOn { host, header } => {
-            state.node.counts.count(PacketEvent::PassedOn);
+            COUNTS.packets_passed_on.increment();
             if let Ok(length) = write_packet(outgoing, PacketKind::Forward, &header, datagram) {
                 let packet = &outgoing[..length];
                 let _ = state.node.socket.send_to(packet, host.address).await;
             }
         }
         HostAction::Reset { connection } => {
-            state.node.counts.count(PacketEvent::Reset);
             send_reset(state, &header, connection, datagram.len()).await;
         }
-        HostAction::Drop(reason) => {
-            state.node.counts.count(PacketEvent::Dropped(reason));
-            log::debug!("ingress: dropped a packet: {reason:?}");
-        }
+        HostAction::Drop(reason) => telemetry::count_dropped(reason),
     }
 }
 
@@ -99,6 +90,7 @@
     let Some(reset) = reset_packet(key, connection, trigger_length, rand::random()) else {
         return;
     };
+    COUNTS.resets_sent.increment();
     let back = ReturnHeader {
         service: header.service,
         host: state.node.me(),
