Let a host's gate follow its incarnation

Cause: the gate kept the incarnation of its first packet; a host that takes a higher one, as an earlier process at its address had a higher one (a clock that was set back), would have issued tokens that its own gate refuses. Ruled out: a gate for each incarnation; open flows of the lower one are reset by balancers in any case. Change: the incarnation is an argument of each decision. A test shows both. Before: drop WrongIncarnation. After: accept.

--- a/crates/hyssopstaird/src/host/ingress.rs
+++ b/crates/hyssopstaird/src/host/ingress.rs
@@ -57,10 +57,9 @@
     };
     let load = state.load();
     let now = state.node.clock.now();
-    let gate = state
-        .gate
-        .get_or_init(|| HostGate::new(state.node.me(), service));
-    match gate.receive(&header, datagram, &load, now) {
+    let gate = state.gate.get_or_init(|| HostGate::new(service));
+    let me = state.node.me().incarnation;
+    match gate.receive(me, &header, datagram, &load, now) {
         HostAction::Accept => {
             state.returns.hear(&header, now);
             state.queue.push(header.caller, datagram.to_vec());
--- a/crates/routing/examples/cost.rs
+++ b/crates/routing/examples/cost.rs
@@ -148,11 +148,8 @@
 
 fn measure_gate() {
     for size in SIZES {
-        let host = ProcessId {
-            address: scattered(0),
-            incarnation: HostIncarnation(1),
-        };
-        let gate = HostGate::new(host, ServiceId(0));
+        let me = HostIncarnation(1);
+        let gate = HostGate::new(ServiceId(0));
         let load = HostLoad {
             flows: 0,
             limit: u32::MAX,
@@ -164,7 +161,7 @@
         opening[..6].copy_from_slice(&[0xc0, 0, 0, 0, 1, 8]);
         let mut receive = |number: u32| {
             opening[6..10].copy_from_slice(&number.wrapping_mul(0x9e37_79b1).to_be_bytes());
-            black_box(gate.receive(&header, &opening, &load, now));
+            black_box(gate.receive(me, &header, &opening, &load, now));
         };
         let insert_nanos = time_each(size, &mut receive);
         let find_nanos = time_each(size, &mut receive);
--- a/crates/routing/examples/placement.rs
+++ b/crates/routing/examples/placement.rs
@@ -155,7 +155,7 @@
         };
         let host = |index| TrialHost {
             process: host_process(index),
-            gate: HostGate::with_margin(host_process(index), ServiceId(1), margin),
+            gate: HostGate::with_margin(ServiceId(1), margin),
             flows: 0,
             draining: false,
             history: Vec::new(),
@@ -347,7 +347,8 @@
             limit: CONNECTIONS,
             draining: host.draining,
         };
-        host.gate.receive(header, datagram, &load, now)
+        host.gate
+            .receive(host.process.incarnation, header, datagram, &load, now)
     }
 
     fn establish(&mut self, flow: usize) {
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use hyssopstair_wire::address::HostIncarnation;
 use hyssopstair_wire::address::ProcessId;
 use hyssopstair_wire::address::ServiceId;
 use hyssopstair_wire::packet::ForwardHeader;
@@ -122,31 +123,32 @@
 /// The decisions of one host about packets.
 #[derive(Debug)]
 pub struct HostGate {
-    me: ProcessId,
     service: ServiceId,
     margin: HandoverMargin,
     openings: ShardSet<OpeningShard>,
 }
 
 impl HostGate {
-    /// Creates the gate of the host `me`.
-    pub fn new(me: ProcessId, service: ServiceId) -> Self {
-        Self::with_margin(me, service, HandoverMargin::default())
+    /// Creates the gate of a host of the service.
+    pub fn new(service: ServiceId) -> Self {
+        Self::with_margin(service, HandoverMargin::default())
     }
 
     /// Creates a gate that hands over by another margin.
-    pub fn with_margin(me: ProcessId, service: ServiceId, margin: HandoverMargin) -> Self {
+    pub fn with_margin(service: ServiceId, margin: HandoverMargin) -> Self {
         Self {
-            me,
             service,
             margin,
             openings: ShardSet::new(OPENING_SHARDS),
         }
     }
 
-    /// Decides about one packet.
+    /// Decides about one packet. `me` is the incarnation of the host: it grows
+    /// when the host hears that an earlier process at its address had a higher
+    /// one.
     pub fn receive<'a>(
         &self,
+        me: HostIncarnation,
         header: &ForwardHeader,
         datagram: &'a [u8],
         load: &HostLoad,
@@ -159,11 +161,9 @@
             return HostAction::Drop(DropReason::Malformed);
         };
         match header.incarnation {
-            Some(incarnation) if incarnation == self.me.incarnation => HostAction::Accept,
+            Some(incarnation) if incarnation == me => HostAction::Accept,
             // The address had an earlier process: its flows died with it.
-            Some(incarnation)
-                if incarnation < self.me.incarnation && packet.form == QuicForm::Short =>
-            {
+            Some(incarnation) if incarnation < me && packet.form == QuicForm::Short => {
                 HostAction::Reset {
                     connection: packet.destination,
                 }
--- a/crates/routing/tests/gate.rs
+++ b/crates/routing/tests/gate.rs
@@ -15,6 +15,7 @@
 use hyssopstair_wire::packet::SecondHost;
 use hyssopstair_wire::time::MonotonicTime;
 
+const ME: HostIncarnation = HostIncarnation(5);
 const NOW: MonotonicTime = MonotonicTime::from_millis(1_000);
 
 fn gate() -> HostGate {
@@ -22,7 +23,7 @@
         flows: 4,
         percent: 0,
     };
-    HostGate::with_margin(fixture::process(1, 5), LEERPLEIN, margin)
+    HostGate::with_margin(LEERPLEIN, margin)
 }
 
 fn load(flows: u32) -> HostLoad {
@@ -83,7 +84,7 @@
             incarnation: Some(HostIncarnation(incarnation)),
             ..fixture::header(service)
         };
-        let action = gate.receive(&header, datagram, &draining(), NOW);
+        let action = gate.receive(ME, &header, datagram, &draining(), NOW);
         lines.push(format!("{name}: {}", show(&action)));
     };
     case("this life, while draining", 5, LEERPLEIN, &short);
@@ -108,7 +109,7 @@
     let mut case = |name: &str, header: &ForwardHeader, load: HostLoad| {
         let packet = fixture::initial_packet(name.as_bytes());
         let gate = gate();
-        let action = show(&gate.receive(header, &packet, &load, NOW));
+        let action = show(&gate.receive(ME, header, &packet, &load, NOW));
         lines.push(format!("{name}: {action}"));
     };
     let alone = fixture::header(LEERPLEIN);
@@ -167,7 +168,7 @@
     let mut lines = Vec::new();
     let mut at = |millis: u64, header: &ForwardHeader, load: HostLoad| {
         let now = MonotonicTime::from_millis(millis);
-        let action = gate.receive(header, &packet, &load, now);
+        let action = gate.receive(ME, header, &packet, &load, now);
         lines.push(format!("{millis} ms: {}", show(&action)));
     };
     at(1_000, &opening(report(0)), load(50));
@@ -189,23 +190,23 @@
 #[test]
 fn handshake_stays_together_behind_a_draining_host() {
     let draining_host = gate();
-    let passing_host = HostGate::new(fixture::process(2, 5), LEERPLEIN);
+    let passing_host = HostGate::new(LEERPLEIN);
     let packet = fixture::initial_packet(b"caller-1");
     let mut direct = opening(report(0));
     direct.second.as_mut().unwrap().process = fixture::process(3, 5);
-    let first = passing_host.receive(&direct, &packet, &load(50), NOW);
+    let first = passing_host.receive(ME, &direct, &packet, &load(50), NOW);
     let header = opening(None);
     let HostAction::PassOn { header, .. } =
-        draining_host.receive(&header, &packet, &draining(), NOW)
+        draining_host.receive(ME, &header, &packet, &draining(), NOW)
     else {
         panic!("a draining host passes on");
     };
-    let later = passing_host.receive(&header, &packet, &load(50), NOW);
+    let later = passing_host.receive(ME, &header, &packet, &load(50), NOW);
     let HostAction::PassOn { header, .. } = later else {
         panic!("the decision is remembered");
     };
-    let last_host = HostGate::new(fixture::process(3, 5), LEERPLEIN);
-    let last = last_host.receive(&header, &packet, &load(0), NOW);
+    let last_host = HostGate::new(LEERPLEIN);
+    let last = last_host.receive(ME, &header, &packet, &load(0), NOW);
     let lines = [show(&first), show(&later), show(&last)];
     expect![[r#"
         pass on to 10.1.0.3:7000/5, hops 1
@@ -213,3 +214,24 @@
         accept"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+/// A host whose clock was set back starts with a lower incarnation than the
+/// process before it, and takes a higher one when it hears of that.
+#[test]
+fn raised_incarnation_holds_at_once() {
+    let gate = gate();
+    let me = HostIncarnation(9);
+    let token = fixture::seal(1, LEERPLEIN, fixture::process(1, me.0), 1);
+    let header = ForwardHeader {
+        incarnation: Some(me),
+        ..fixture::header(LEERPLEIN)
+    };
+    let packet = fixture::short_packet(&token);
+    let before = gate.receive(ME, &header, &packet, &load(0), NOW);
+    let after = gate.receive(me, &header, &packet, &load(0), NOW);
+    expect!["drop WrongIncarnation, accept"].assert_eq(&format!(
+        "{}, {}",
+        show(&before),
+        show(&after)
+    ));
+}
--- a/crates/routing/tests/reuse.rs
+++ b/crates/routing/tests/reuse.rs
@@ -76,7 +76,7 @@
         Self {
             process,
             service,
-            gate: HostGate::new(process, service),
+            gate: HostGate::new(service),
         }
     }
 }
@@ -213,7 +213,10 @@
             limit: 100,
             draining: false,
         };
-        match host.gate.receive(header, packet, &load, now) {
+        match host
+            .gate
+            .receive(host.process.incarnation, header, packet, &load, now)
+        {
             HostAction::Accept => Some(host),
             HostAction::PassOn { host, header } => self.receive(host, &header, packet, now),
             HostAction::Reset { .. } | HostAction::Drop(_) => None,
