Leave a quiet balancer after 100 ms

Cause: a host sends to the balancer that a caller was last heard through until it is quiet; the answers of that time are lost when the balancer was killed. Ruled out: refused datagrams as a sign, as an unconnected socket seldom reports them and a dead instance sends none.

--- a/crates/routing/src/returns.rs
+++ b/crates/routing/src/returns.rs
@@ -18,7 +18,7 @@
 use crate::shard::lock;
 
 /// A balancer that was not heard for this long is quiet.
-pub const BALANCER_QUIET: Duration = Duration::from_millis(300);
+pub const BALANCER_QUIET: Duration = Duration::from_millis(100);
 
 /// A caller that was not heard for this long is forgotten.
 pub const CALLER_FORGOTTEN: Duration = Duration::from_secs(120);
--- a/crates/routing/tests/returns.rs
+++ b/crates/routing/tests/returns.rs
@@ -36,7 +36,7 @@
     hear(&table, 5_000, 1, 1_000);
     hear(&table, 5_001, 2, 1_000);
     hear(&table, 5_002, 3, 1_000);
-    let mut lines = vec![answers(&table, 5_000, 1_300)];
+    let mut lines = vec![answers(&table, 5_000, 1_100)];
     // Balancer 1 is quiet, the others are not.
     hear(&table, 5_001, 2, 1_400);
     hear(&table, 5_002, 3, 1_400);
@@ -50,7 +50,7 @@
     lines.push(answers(&table, 5_000, 3_200));
     lines.push(answers(&table, 6_000, 3_200));
     expect![[r#"
-        1300 ms: 1 1 1 1
+        1100 ms: 1 1 1 1
         1500 ms: 2 3 2 3
         3000 ms: 2 3 1 2
         3200 ms: 3 3 3 3
