Mask the route in connection IDs

Cause: a connection ID showed the inner address, service and start time of its host to callers and to anyone on the way, and two IDs of one flow could be told to belong together. Ruled out: a block cipher (a block has 16 bytes and the tag would no longer fit 20); a mask that depends on the key number alone (XOR of two IDs shows both). Change: the 15 bytes between key number and tag are masked by SipHash-2-4-128 of the tag under a key of its own; the tag is checked after the mask is off. A test fails first: byte 1 took few values.

--- a/crates/wire/src/token.rs
+++ b/crates/wire/src/token.rs
@@ -5,7 +5,10 @@
 //! sends packets to an address of its choice.
 //!
 //! Layout, 20 bytes, integers in network order: key number (1), service (2),
-//! IPv4 address (4), port (2), incarnation (4), nonce (3), tag (4).
+//! IPv4 address (4), port (2), incarnation (4), nonce (3), tag (4). All between
+//! key number and tag is masked by a keystream that the tag selects, so that
+//! callers see no inner addresses and cannot tell the tokens of one host from
+//! those of another.
 
 use std::hash::Hasher;
 use std::net::Ipv4Addr;
@@ -25,6 +28,7 @@
 /// Length of a secret in bytes.
 pub const SECRET_LENGTH: usize = 16;
 
+const BODY_OFFSET: usize = 1;
 const TAG_OFFSET: usize = 16;
 const NONCE_MASK: u32 = 0x00ff_ffff;
 
@@ -59,9 +63,11 @@
     /// Returns the route key with the given number.
     pub fn route_key(&self, number: KeyNumber) -> RouteKey {
         let label = [b'r', b'o', b'u', b't', b'e', number.0];
+        let mask_label = [b'm', b'a', b's', b'k', number.0];
         RouteKey {
             number,
             secret: self.derive(&label),
+            mask_secret: self.derive(&mask_label),
         }
     }
 }
@@ -71,6 +77,7 @@
 pub struct RouteKey {
     number: KeyNumber,
     secret: [u8; SECRET_LENGTH],
+    mask_secret: [u8; SECRET_LENGTH],
 }
 
 impl std::fmt::Debug for RouteKey {
@@ -85,6 +92,17 @@
         hasher.write(body);
         ((hasher.finish() >> 32) as u32).to_be_bytes()
     }
+
+    /// Masks what stands between key number and tag, or takes the mask off.
+    fn apply_mask(&self, bytes: &mut [u8; ROUTE_TOKEN_LENGTH]) {
+        let (body, tag) = bytes.split_at_mut(TAG_OFFSET);
+        let mut hasher = SipHasher128::new_with_key(&self.mask_secret);
+        hasher.write(tag);
+        let keystream = hasher.finish128().as_bytes();
+        for (byte, mask) in body[BODY_OFFSET..].iter_mut().zip(keystream) {
+            *byte ^= mask;
+        }
+    }
 }
 
 /// The keys that a process honours, sorted by number.
@@ -160,6 +178,7 @@
         bytes[13..16].copy_from_slice(&(self.nonce & NONCE_MASK).to_be_bytes()[1..]);
         let tag = key.tag(&bytes[..TAG_OFFSET]);
         bytes[TAG_OFFSET..].copy_from_slice(&tag);
+        key.apply_mask(&mut bytes);
         bytes
     }
 
@@ -170,9 +189,11 @@
     /// Returns a [`TokenError`] when the connection ID was not sealed by a key
     /// of `ring`.
     pub fn open(ring: &KeyRing, bytes: &[u8]) -> Result<Self, TokenError> {
-        let bytes: &[u8; ROUTE_TOKEN_LENGTH] = bytes.try_into().map_err(|_| TokenError::Length)?;
+        let mut bytes: [u8; ROUTE_TOKEN_LENGTH] =
+            bytes.try_into().map_err(|_| TokenError::Length)?;
         let number = KeyNumber(bytes[0]);
         let key = ring.find(number).ok_or(TokenError::UnknownKey)?;
+        key.apply_mask(&mut bytes);
         if key.tag(&bytes[..TAG_OFFSET]) != bytes[TAG_OFFSET..] {
             return Err(TokenError::WrongTag);
         }
--- a/crates/wire/tests/decoding.rs
+++ b/crates/wire/tests/decoding.rs
@@ -198,3 +198,25 @@
         },
     )
 }
+
+/// Tokens of one host have nothing in common that a caller could see.
+#[test]
+fn tokens_hide_the_host() {
+    let token = |nonce| RouteToken {
+        key: KeyNumber(1),
+        service: ServiceId(1),
+        host: ProcessId {
+            address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 2, 3), 7000),
+            incarnation: HostIncarnation(5),
+        },
+        nonce,
+    };
+    const TOKENS: u32 = 256;
+    let sealed: Vec<_> = (0..TOKENS).map(|nonce| seal(&token(nonce))).collect();
+    for index in 1..ROUTE_TOKEN_LENGTH {
+        let mut bytes: Vec<u8> = sealed.iter().map(|token| token[index]).collect();
+        bytes.sort_unstable();
+        bytes.dedup();
+        assert!(bytes.len() > 128, "byte {index} takes few values");
+    }
+}
