Let the reset test pass over repeated handshake packets

Cause: the test asserted that the first packet after the kill has a short header; a caller whose handshake was not confirmed repeats its end first. Seen once in about 5 runs, while trying a deliberate fault. Ruled out: a fault of the resets; the balancer drops such packets by design. Change: handshake packets are passed over, after their token is checked as well; all other packets must have a short header as before.

--- a/crates/hyssopstaird/tests/stateless_reset.rs
+++ b/crates/hyssopstaird/tests/stateless_reset.rs
@@ -126,9 +126,13 @@
         loop {
             let (length, from) = socket.recv_from(&mut buffer).await.unwrap();
             let packet = parse_header(&buffer[..length]).unwrap();
-            assert_eq!(packet.form, QuicForm::Short);
             let token = RouteToken::open(&ring, packet.destination).unwrap();
             assert_eq!(token.host, TOKEN.host);
+            // The end of a handshake may be repeated; no reset answers it.
+            if packet.form == QuicForm::Handshake {
+                continue;
+            }
+            assert_eq!(packet.form, QuicForm::Short);
             let key = secret().derive(b"reset");
             if let Some(reset) = reset_packet(&key, packet.destination, length, 1) {
                 socket.send_to(&reset, from).await.unwrap();
