--- a/crates/hyssopstaird/src/host/state.rs
+++ b/crates/hyssopstaird/src/host/state.rs
@@ -19,7 +19,7 @@
 use hyssopstair_routing::gate::HostGate;
 use hyssopstair_routing::gate::HostLoad;
 use hyssopstair_routing::returns::ReturnTable;
-use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_rules::service_rule::ServiceRule;
 use hyssopstair_rules::settings::HostSettings;
 use hyssopstair_wire::address::ServiceId;
 use tokio::sync::Notify;
@@ -134,8 +134,11 @@
 
     /// Returns whether the host takes nothing new.
     pub fn is_draining(&self) -> bool {
-        let drained_by_rule = self.node.view().rules.is_drained(self.node.me().address);
-        drained_by_rule || self.draining.load(Ordering::Relaxed)
+        let rules = self.node.view().rules.clone();
+        let takes_new = rules
+            .service_named(&self.name)
+            .is_none_or(|service| rules.takes_new(service.id, self.node.me().address));
+        !takes_new || self.draining.load(Ordering::Relaxed)
     }
 
     /// Takes nothing new from now on. Tickets that were not shown yet are void,
--- a/crates/hyssopstaird/src/peer/server.rs
+++ b/crates/hyssopstaird/src/peer/server.rs
@@ -51,6 +51,7 @@
     async fn answer(&self, request: PeerRequest) -> PeerAnswer {
         match (request, self.host.get()) {
             (PeerRequest::Configuration { above }, _) => self.configuration(above),
+            (PeerRequest::Version, _) => PeerAnswer::Version(self.node.view().version),
             (PeerRequest::Settle(request), Some(host)) => {
                 PeerAnswer::Settled(settle::answer(host, &request))
             }
@@ -73,15 +74,28 @@
     }
 }
 
-/// Answers questions of peers until the process ends.
+/// What must live for as long as peers are answered: nng gives up whatever has
+/// no handle left.
+#[derive(Debug)]
+pub struct PeerServer {
+    _socket: Socket,
+    _workers: Vec<Aio>,
+}
+
+/// Answers questions of peers until the server that it returns is dropped.
 ///
 /// # Errors
 ///
 /// Returns an error when the address is in use.
-pub fn serve(address: SocketAddrV4, desk: &PeerDesk) -> Result<(), Report<DaemonError>> {
-    let context = || DaemonError::new(format!("failed to listen for peers on {address}"));
+pub fn serve(address: SocketAddrV4, desk: &PeerDesk) -> Result<PeerServer, Report<DaemonError>> {
+    let context = || {
+        DaemonError::new(format!(
+            "failed to listen for peers on the address of the field \"inner\", {address}"
+        ))
+    };
     let socket = Socket::new(Protocol::Rep0).change_context_lazy(context)?;
     let handle = Handle::current();
+    let mut workers = Vec::new();
     for _ in 0..WORKERS {
         let worker = Context::new(&socket).change_context_lazy(context)?;
         let receiver = worker.clone();
@@ -92,11 +106,15 @@
         })
         .change_context_lazy(context)?;
         receiver.recv(&aio).change_context_lazy(context)?;
+        workers.push(aio);
     }
     socket
         .listen(&format!("tcp://{address}"))
         .change_context_lazy(context)?;
-    Ok(())
+    Ok(PeerServer {
+        _socket: socket,
+        _workers: workers,
+    })
 }
 
 fn step(worker: &Context, aio: &Aio, result: AioResult, desk: &PeerDesk, handle: &Handle) {
