--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,7 +6,6 @@
 //! [`returns`] for the way back.
 
 pub mod balancer;
-pub mod counts;
 pub mod gate;
 pub mod loads;
 pub mod placement;
