--- a/crates/hyssopstaird/src/control/entries.rs
+++ b/crates/hyssopstaird/src/control/entries.rs
@@ -12,29 +12,33 @@
 use hyssopstair_platform::record::ENTRY_PREFIX;
 use hyssopstair_platform::record::ENTRY_SLOTS;
 use hyssopstair_platform::record::entry_key;
-use hyssopstair_platform::schedule::OutageState;
 use hyssopstair_platform::schedule::poll_interval;
+use hyssopstair_telemetry::limiter::RepeatLimiter;
 use hyssopstair_wire::control::MemberState;
 use rand::RngExt;
 
-use crate::control::configuration::log_outage;
 use crate::control::node::ControlNode;
 
 /// Runs until the process ends.
 pub async fn run(node: Arc<ControlNode>, client: PlatformClient) {
-    let mut outage = OutageState::default();
+    let mut limiter = RepeatLimiter::default();
+    let mut failures = 0;
     loop {
-        let news = match refresh(&node, &client).await {
-            Ok(()) => outage.succeed(node.clock.now()),
+        match refresh(&node, &client).await {
+            Ok(()) => {
+                failures = 0;
+                limiter.recover();
+            }
             Err(error) => {
-                log::debug!("entries: {error}");
-                outage.fail(node.clock.now())
+                failures += 1;
+                if let Some(held_back) = limiter.warn(node.clock.now()) {
+                    log::warn!(error:% = error, held_back; "entries: the platform is unreachable");
+                }
             }
-        };
-        log_outage("entries", news);
+        }
         let jitter = rand::rng().random_range(0.0..1.0);
         let members = node.members().len();
-        tokio::time::sleep(poll_interval(members, outage.failures(), jitter)).await;
+        tokio::time::sleep(poll_interval(members, failures, jitter)).await;
     }
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,14 +1,11 @@
 //! The client of the key-value service.
 
-use std::sync::Arc;
 use std::time::Duration;
 
+use hyssopstair_telemetry::counts::COUNTS;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::counts::CallCounters;
-use crate::counts::CallCounts;
-use crate::counts::CallKind;
 use crate::protocol::Compare;
 use crate::protocol::KeyValue;
 use crate::protocol::PutRequest;
@@ -70,12 +67,20 @@
     pub value: &'a [u8],
 }
 
+/// Kinds of call, which the platform's rates bound.
+#[derive(Debug, Clone, Copy)]
+enum CallKind {
+    /// Reads keys.
+    Read,
+    /// Writes keys if a comparison holds.
+    Write,
+}
+
 /// A client that tries each address of the service in turn.
 #[derive(Debug, Clone)]
 pub struct PlatformClient {
     urls: Vec<String>,
     http: reqwest::Client,
-    counters: Arc<CallCounters>,
 }
 
 impl PlatformClient {
@@ -90,15 +95,9 @@
         Self {
             urls: urls.to_vec(),
             http,
-            counters: Arc::default(),
         }
     }
 
-    /// Returns the calls that this client and its clones have made.
-    pub fn counts(&self) -> CallCounts {
-        self.counters.read()
-    }
-
     /// Reads one key.
     ///
     /// # Errors
@@ -183,11 +182,13 @@
             reason: "no address is configured".to_owned(),
         };
         for url in &self.urls {
-            self.counters.count(kind);
+            if let CallKind::Write = kind {
+                COUNTS.platform_writes.increment();
+            }
             match self.call_one(url, path, request).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
-                    self.counters.count_failure();
+                    COUNTS.platform_errors.increment();
                     last = PlatformError::NoAnswer {
                         url: url.clone(),
                         reason: error.to_string(),
@@ -204,6 +205,7 @@
         path: &str,
         request: &Q,
     ) -> Result<A, reqwest::Error> {
+        COUNTS.platform_calls.increment();
         self.http
             .post(format!("{url}{path}"))
             .json(request)
