Keep the operations of the peers' socket, so that peers are answered

Cause: peer::serve dropped each nng operation (Aio) after it had started it, and a dropped operation is cancelled. So no process ever answered a peer, and no configuration came from one.

Ruled out: the socket (it listens since it is kept); the asking side (no change there).

Change: serve returns a server that keeps the socket and the operations.

Before: a_balancer_born_while_the_platform_is_down_carries_all_feeds and an_accepted_change_spreads_while_the_platform_is_down failed (20 s timeouts). After: the four tests of configuration.rs pass, in 4.3 s together.

--- a/crates/hyssopstaird/src/peer.rs
+++ b/crates/hyssopstaird/src/peer.rs
@@ -28,12 +28,24 @@
 /// Longest wait for a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Answers requests of peers until the socket that it returns is dropped.
+/// Answers requests of peers as long as it is kept.
+#[derive(Debug)]
+pub struct PeerServer {
+    // A socket that is dropped stops listening, and an operation that is
+    // dropped is cancelled.
+    _socket: Socket,
+    _workers: Vec<Aio>,
+}
+
+/// Answers requests of peers until the server that it returns is dropped.
 ///
 /// # Errors
 ///
 /// Returns an error when the address is in use.
-pub fn serve(address: SocketAddrV4, node: Arc<ControlNode>) -> Result<Socket, Report<DaemonError>> {
+pub fn serve(
+    address: SocketAddrV4,
+    node: Arc<ControlNode>,
+) -> Result<PeerServer, Report<DaemonError>> {
     let context = || {
         DaemonError::new(format!(
             "failed to listen for peers on the address of the field \"inner\", {address}"
@@ -41,6 +53,7 @@
     };
     let socket = Socket::new(Protocol::Rep0).change_context_lazy(context)?;
     let handle = Handle::current();
+    let mut workers = Vec::new();
     for _ in 0..WORKERS {
         let worker = Context::new(&socket).change_context_lazy(context)?;
         let receiver = worker.clone();
@@ -51,11 +64,15 @@
         })
         .change_context_lazy(context)?;
         receiver.recv(&aio).change_context_lazy(context)?;
+        workers.push(aio);
     }
     socket
         .listen(&format!("tcp://{address}"))
         .change_context_lazy(context)?;
-    Ok(socket)
+    Ok(PeerServer {
+        _socket: socket,
+        _workers: workers,
+    })
 }
 
 fn step(worker: &Context, aio: &Aio, result: AioResult, node: &Arc<ControlNode>, handle: &Handle) {
