--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -19,6 +19,7 @@
 use crate::error::DaemonError;
 use crate::host;
 use crate::peer;
+use crate::peer::server::PeerDesk;
 use crate::telemetry::DaemonTelemetry;
 
 /// Runs a daemon until it is told to stop.
@@ -46,7 +47,8 @@
         node.clone(),
         telemetry.metrics.clone(),
     ));
-    let _peers = peer::serve(settings.inner, node.clone())?;
+    let desk = PeerDesk::new(node.clone());
+    peer::serve(settings.inner, &desk)?;
     control::spawn_loops(&node, &settings.platform);
     match &settings.role {
         RoleSettings::Balancer(role) => {
@@ -56,7 +58,7 @@
             handle.drain().await;
         }
         RoleSettings::Host(role) => {
-            let handle = host::start(role, node.clone()).await?;
+            let handle = host::start(role, node.clone(), &desk).await?;
             wait_for_stop().await?;
             node.declare(MemberState::Draining).await;
             handle.drain().await;
--- a/crates/rules/tests/support/mod.rs
+++ b/crates/rules/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Builders of rule files.
 
 /// Lines that most rule files of the tests start with.
-pub const BASE: &str = "\
+const BASE: &str = "\
 zone utr-a id 1  # A. Visser: where we run
 zone ame-b id 2  # A. Visser: where we run
 service leerplein id 1 address 127.1.0.10:4433  # A. Visser: enrolment
