--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod change;
 pub mod client;
-pub mod counts;
 pub mod fetch;
 pub mod protocol;
 pub mod record;
--- /dev/null
+++ b/crates/platform/tests/record.rs
@@ -0,0 +1,55 @@
+//! What the platform keeps.
+
+use expect_test::expect;
+use hyssopstair_platform::record::ChangeId;
+use hyssopstair_platform::record::ConfigurationRecord;
+use hyssopstair_platform::record::NAMED_CHANGES;
+
+#[test]
+fn a_record_is_read_as_it_was_written() {
+    let record = ConfigurationRecord::empty().followed_by(ChangeId(7), 3, "drain\n".repeat(999));
+    let bytes = record.encode().expect("packed");
+    assert_eq!(ConfigurationRecord::decode(&bytes).ok(), Some(record));
+    expect!["39"].assert_eq(&bytes.len().to_string());
+}
+
+#[test]
+fn bytes_that_are_no_record_are_refused() {
+    let whole = ConfigurationRecord::empty()
+        .followed_by(ChangeId(7), 3, "drain\n".to_owned())
+        .encode()
+        .expect("packed");
+    for length in 0..whole.len() {
+        assert!(
+            ConfigurationRecord::decode(&whole[..length]).is_err(),
+            "{length}"
+        );
+    }
+    let errors = [&b"{\"version\":1}"[..], &[1, 0, 2, 255, 255]]
+        .map(|bytes| ConfigurationRecord::decode(bytes).map_err(|error| error.to_string()));
+    expect![[r#"
+        [
+            Err(
+                "the value is not a configuration record",
+            ),
+            Err(
+                "the text of the configuration record cannot be unpacked",
+            ),
+        ]
+    "#]]
+    .assert_debug_eq(&errors);
+}
+
+#[test]
+fn a_change_is_named_until_many_others_have_followed() {
+    let mut record = ConfigurationRecord::empty().followed_by(ChangeId(1), 1, String::new());
+    for number in 2..=NAMED_CHANGES as u64 {
+        record = record.followed_by(ChangeId(number.into()), number, String::new());
+    }
+    assert_eq!(record.version_of(ChangeId(1)), Some(1));
+    assert!(record.reaches_back_to(1));
+    record = record.followed_by(ChangeId(900), 65, String::new());
+    assert_eq!(record.version_of(ChangeId(1)), None);
+    assert!(!record.reaches_back_to(1));
+    assert!(record.reaches_back_to(2));
+}
--- a/crates/telemetry/src/counts.rs
+++ b/crates/telemetry/src/counts.rs
@@ -150,6 +150,8 @@
     pub control_received: EventCounter,
     /// Calls to the platform.
     pub platform_calls: EventCounter,
+    /// Calls to the platform that write; the others read.
+    pub platform_writes: EventCounter,
     /// Calls to the platform that gave no answer.
     pub platform_errors: EventCounter,
     /// Spans that could not be exported.
@@ -174,6 +176,7 @@
             control_sent: EventCounter::new(),
             control_received: EventCounter::new(),
             platform_calls: EventCounter::new(),
+            platform_writes: EventCounter::new(),
             platform_errors: EventCounter::new(),
             spans_lost: EventCounter::new(),
         }
