--- a/crates/hyssopstaird/src/balancer/mod.rs
+++ b/crates/hyssopstaird/src/balancer/mod.rs
@@ -154,7 +154,6 @@
         return;
     };
     let now = paths.node.clock.now();
-    note_returned(header.trace, now);
     paths.loads.hear(header.host, header.load, now);
     COUNTS.packets_returned.increment();
     note_returned(header.trace, now);
