Leave room for the legend of a load's plot

Cause: seen as a picture, the legend hid the end of the lines, and the axes had useless decimals. Change: the axis of time is 15 % longer; labels are whole numbers.

--- a/crates/hyssopstair/src/ops/load/plot.rs
+++ b/crates/hyssopstair/src/ops/load/plot.rs
@@ -30,6 +30,10 @@
 /// Room for the names of the axes, in pixels.
 const LABEL_AREA: u32 = 64;
 
+/// Length of the axis of time over the length of the load: the names of the
+/// lines stand on the right.
+const LEGEND_ROOM: f64 = 1.15;
+
 /// Color of the marks of faults.
 const FAULT_COLOR: RGBColor = RGBColor(120, 120, 120);
 
@@ -116,7 +120,7 @@
         .iter()
         .flat_map(|line| seconds.iter().map(|sample| (line.value)(sample)));
     let top = values.fold(1.0, f64::max) * 1.15;
-    let end = (seconds.len() as f64).max(1.0);
+    let end = (seconds.len() as f64).max(1.0) * LEGEND_ROOM;
     let mut chart = ChartBuilder::on(area)
         .caption(title, ("sans-serif", 18))
         .margin(12)
@@ -126,6 +130,8 @@
     chart
         .configure_mesh()
         .x_desc("seconds")
+        .x_label_formatter(&|value| format!("{value:.0}"))
+        .y_label_formatter(&|value| format!("{value:.0}"))
         .light_line_style(WHITE)
         .draw()?;
     for fault in &report.faults {
