Limit the warnings about a backend server

Cause: a backend server that is down gave one warning for each request. Change: a limiter that tasks share, for both warnings and for the export of spans.

--- a/crates/hyssopstaird/src/host/backend.rs
+++ b/crates/hyssopstaird/src/host/backend.rs
@@ -19,6 +19,7 @@
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use hyssopstair_requests::admission::SlotEnd;
+use hyssopstair_telemetry::limiter::SharedLimiter;
 use hyssopstair_telemetry::requests::BACKEND_SPAN;
 use hyssopstair_telemetry::requests::hop;
 use hyssopstair_telemetry::requests::inject;
@@ -87,6 +88,12 @@
     Cut,
 }
 
+/// Limits the warning that the backend server cannot be reached.
+static UNREACHABLE: SharedLimiter = SharedLimiter::new();
+
+/// Limits the warning that the backend server breaks off.
+static BROKEN: SharedLimiter = SharedLimiter::new();
+
 /// Hands a request to the backend server, and returns when its answer begins.
 pub async fn run(
     state: &HostState,
@@ -97,7 +104,9 @@
 ) -> BackendEnd {
     let connecting = TcpStream::connect(state.backend);
     let Ok(Ok(connection)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await else {
-        log::warn!("proxy: the backend server cannot be reached");
+        if let Some(held_back) = UNREACHABLE.warn(state.node.clock.now()) {
+            log::warn!(held_back; "proxy: the backend server cannot be reached");
+        }
         return fail(slot);
     };
     let remaining = deadline.map(|deadline| deadline.since(state.node.clock.now()));
@@ -117,7 +126,9 @@
         Ok(Ok(response)) => judge(response, slot),
         Ok(Err(SendError::NotSent)) => fail(slot),
         Ok(Err(SendError::Broken(error))) => {
-            log::warn!(error:% = error; "proxy: the backend server gave no answer");
+            if let Some(held_back) = BROKEN.warn(state.node.clock.now()) {
+                log::warn!(error:% = error, held_back; "proxy: the backend server gave no answer");
+            }
             if let Some(slot) = slot {
                 slot.end(SlotEnd::Failed);
             }
--- a/crates/telemetry/src/limiter.rs
+++ b/crates/telemetry/src/limiter.rs
@@ -1,5 +1,7 @@
 //! Limits a warning that repeats.
 
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use hyssopstair_wire::time::MonotonicTime;
@@ -9,13 +11,27 @@
 
 /// Lets the first of a run of equal warnings through, then one with a count
 /// every [`REPEAT_INTERVAL`].
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RepeatLimiter {
     reported: Option<MonotonicTime>,
     held_back: u64,
 }
 
+impl Default for RepeatLimiter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl RepeatLimiter {
+    /// Creates a limiter that has seen no warning.
+    pub const fn new() -> Self {
+        Self {
+            reported: None,
+            held_back: 0,
+        }
+    }
+
     /// Notes a warning, and returns how many were held back since the last
     /// report when it is to be reported.
     pub fn warn(&mut self, now: MonotonicTime) -> Option<u64> {
@@ -37,3 +53,25 @@
         Some(std::mem::take(&mut self.held_back))
     }
 }
+
+/// A [`RepeatLimiter`] that several tasks share.
+#[derive(Debug, Default)]
+pub struct SharedLimiter {
+    inner: Mutex<RepeatLimiter>,
+}
+
+impl SharedLimiter {
+    /// Creates a limiter that has seen no warning.
+    pub const fn new() -> Self {
+        Self {
+            inner: Mutex::new(RepeatLimiter::new()),
+        }
+    }
+
+    /// Notes a warning, and returns how many were held back since the last
+    /// report when it is to be reported.
+    pub fn warn(&self, now: MonotonicTime) -> Option<u64> {
+        let mut limiter = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        limiter.warn(now)
+    }
+}
--- a/crates/telemetry/src/traces.rs
+++ b/crates/telemetry/src/traces.rs
@@ -3,8 +3,6 @@
 //! Only requests whose caller sampled them have spans. A collector that cannot
 //! be reached costs the spans that wait for it and nothing else.
 
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -28,7 +26,7 @@
 use opentelemetry_sdk::trace::SpanData;
 
 use crate::counts::COUNTS;
-use crate::limiter::RepeatLimiter;
+use crate::limiter::SharedLimiter;
 
 /// Name of the instrumentation scope.
 pub(crate) const SCOPE: &str = "hyssopstair";
@@ -151,7 +149,7 @@
     exporter: SpanExporter,
     url: String,
     origin: Instant,
-    limiter: Mutex<RepeatLimiter>,
+    limiter: SharedLimiter,
 }
 
 impl CountedExporter {
@@ -160,15 +158,14 @@
             exporter,
             url: url.to_owned(),
             origin: Instant::now(),
-            limiter: Mutex::default(),
+            limiter: SharedLimiter::new(),
         }
     }
 
     fn warn(&self, spans: u64) {
         COUNTS.spans_lost.add(spans);
         let now = MonotonicTime(self.origin.elapsed().as_micros() as u64);
-        let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(held_back) = limiter.warn(now) {
+        if let Some(held_back) = self.limiter.warn(now) {
             log::warn!(collector = self.url.as_str(), spans, held_back;
                 "traces: the collector took no spans");
         }
--- a/crates/telemetry/tests/limiter.rs
+++ b/crates/telemetry/tests/limiter.rs
@@ -2,6 +2,7 @@
 
 use expect_test::expect;
 use hyssopstair_telemetry::limiter::RepeatLimiter;
+use hyssopstair_telemetry::limiter::SharedLimiter;
 use hyssopstair_wire::time::MonotonicTime;
 
 #[test]
@@ -33,3 +34,10 @@
     );
     expect!["(None, Some(0), None, Some(1), Some(0))"].assert_eq(&format!("{results:?}"));
 }
+
+#[test]
+fn a_shared_limiter_reports_as_one() {
+    static LIMITER: SharedLimiter = SharedLimiter::new();
+    let reports = [0, 1, 30].map(|second| LIMITER.warn(MonotonicTime::from_millis(second * 1_000)));
+    expect!["[Some(0), None, Some(1)]"].assert_eq(&format!("{reports:?}"));
+}
