--- a/crates/hyssopstaird/src/control/configuration.rs
+++ b/crates/hyssopstaird/src/control/configuration.rs
@@ -19,9 +19,8 @@
 use hyssopstair_platform::record::CONFIGURATION_KEY;
 use hyssopstair_platform::record::ConfigurationRecord;
 use hyssopstair_platform::record::VERSION_KEY;
-use hyssopstair_platform::schedule::OutageNews;
-use hyssopstair_platform::schedule::OutageState;
 use hyssopstair_platform::schedule::poll_interval;
+use hyssopstair_telemetry::limiter::RepeatLimiter;
 use hyssopstair_wire::control::MemberRole;
 use hyssopstair_wire::control::MemberState;
 use hyssopstair_wire::peer::PeerAnswer;
@@ -42,19 +41,29 @@
 }
 
 async fn poll_platform(node: &ControlNode, client: &PlatformClient) {
-    let mut outage = OutageState::default();
+    let mut limiter = RepeatLimiter::default();
+    let mut failures = 0;
     loop {
-        let news = match read_platform(node, client).await {
-            Ok(()) => outage.succeed(node.clock.now()),
+        match read_platform(node, client).await {
+            Ok(()) => {
+                failures = 0;
+                if let Some(unreported) = limiter.recover() {
+                    log::info!(unreported; "config: the platform answers again");
+                }
+            }
             Err(error) => {
-                log::debug!("config: {error}");
-                outage.fail(node.clock.now())
+                failures += 1;
+                if let Some(held_back) = limiter.warn(node.clock.now()) {
+                    log::warn!(
+                        error:% = error, held_back;
+                        "config: the platform is unreachable; trying on, and asking peers"
+                    );
+                }
             }
-        };
-        log_outage("config", news);
+        }
         let jitter = rand::rng().random_range(0.0..1.0);
         let members = node.members().len();
-        tokio::time::sleep(poll_interval(members, outage.failures(), jitter)).await;
+        tokio::time::sleep(poll_interval(members, failures, jitter)).await;
     }
 }
 
@@ -77,31 +86,11 @@
         Ok(record) => {
             node.offer_config(record.version, &record.text);
         }
-        Err(error) => log::warn!("config: {error}"),
+        Err(error) => log::warn!(error:% = error; "config: the platform holds no record"),
     }
     Ok(())
 }
 
-/// Writes to the log what is new about an outage of the platform.
-pub fn log_outage(part: &str, news: Option<OutageNews>) {
-    match news {
-        Some(OutageNews::Away(time)) if time.is_zero() => {
-            log::warn!(
-                "{part}: the platform does not answer; trying on, peers are asked meanwhile"
-            );
-        }
-        Some(OutageNews::Away(time)) => {
-            let seconds = time.as_secs();
-            log::warn!("{part}: the platform has not answered for {seconds} s; trying on");
-        }
-        Some(OutageNews::Back(time)) => {
-            let seconds = time.as_secs();
-            log::info!("{part}: the platform answers again after {seconds} s");
-        }
-        None => {}
-    }
-}
-
 /// Notes the version that a peer has; runs for each control packet.
 pub fn hear_version(node: &ControlNode, from: SocketAddrV4, version: u64) {
     if version <= node.view().version {
@@ -137,7 +126,7 @@
         Ok(PeerAnswer::Configuration { version, text }) => node.offer_config(version, &text),
         Ok(_) => false,
         Err(error) => {
-            log::debug!("config: {error:?}");
+            log::debug!(error:% = error; "config: a peer does not answer");
             false
         }
     }
--- a/crates/hyssopstaird/src/host/ingress.rs
+++ b/crates/hyssopstaird/src/host/ingress.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use hyssopstair_routing::balancer::DropReason;
-use hyssopstair_routing::counts::PacketEvent;
 use hyssopstair_routing::gate::HostAction;
 use hyssopstair_routing::gate::HostGate;
 use hyssopstair_routing::reset::reset_packet;
@@ -42,19 +41,14 @@
         match split_kind(&buffer[..length]) {
             Ok((PacketKind::Forward, rest)) => receive(&state, rest, &mut outgoing).await,
             Ok((PacketKind::Control, rest)) => gossip::receive(&state.node, rest).await,
-            Ok((PacketKind::Return, _)) | Err(_) => count_malformed(&state),
+            Ok((PacketKind::Return, _)) | Err(_) => telemetry::count_dropped(DropReason::Malformed),
         }
     }
 }
 
-fn count_malformed(state: &HostState) {
-    let event = PacketEvent::Dropped(DropReason::Malformed);
-    state.node.counts.count(event);
-}
-
 async fn receive(state: &Arc<HostState>, rest: &[u8], outgoing: &mut [u8]) {
     let Ok((header, datagram)) = split_message::<ForwardHeader>(rest) else {
-        count_malformed(state);
+        telemetry::count_dropped(DropReason::Malformed);
         return;
     };
     configuration::hear_version(&state.node, header.balancer, header.version);
@@ -63,31 +57,24 @@
     };
     let load = state.load();
     let now = state.node.clock.now();
-    let gate = state
-        .gate
-        .get_or_init(|| HostGate::new(state.node.me(), service));
-    match gate.receive(&header, datagram, &load, now) {
+    let gate = state.gate.get_or_init(|| HostGate::new(service));
+    let me = state.node.me().incarnation;
+    match gate.receive(me, &header, datagram, &load, now) {
         HostAction::Accept => {
-            state.node.counts.count(PacketEvent::Accepted);
             state.returns.hear(&header, now);
             state.queue.push(header.caller, datagram.to_vec());
         }
         HostAction::PassOn { host, header } => {
             COUNTS.packets_passed_on.increment();
-            state.node.counts.count(PacketEvent::PassedOn);
             if let Ok(length) = write_packet(outgoing, PacketKind::Forward, &header, datagram) {
                 let packet = &outgoing[..length];
                 let _ = state.node.socket.send_to(packet, host.address).await;
             }
         }
         HostAction::Reset { connection } => {
-            state.node.counts.count(PacketEvent::Reset);
             send_reset(state, &header, connection, datagram.len()).await;
         }
-        HostAction::Drop(reason) => {
-            state.node.counts.count(PacketEvent::Dropped(reason));
-            telemetry::count_dropped(reason);
-        }
+        HostAction::Drop(reason) => telemetry::count_dropped(reason),
     }
 }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -199,6 +199,12 @@
         "{call}",
         &counts.platform_calls,
     );
+    counter(
+        meter,
+        "hyssopstair.platform.writes",
+        "{call}",
+        &counts.platform_writes,
+    );
     counter(
         meter,
         "hyssopstair.platform.errors",
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -65,6 +65,7 @@
         hyssopstair_packets_returned_total 0
         hyssopstair_platform_calls_total 0
         hyssopstair_platform_errors_total 0
+        hyssopstair_platform_writes_total 0
         hyssopstair_request_duration_seconds_bucket{http_request_method="POST",hyssopstair_verdict="done",le="0.025"} 1
         hyssopstair_request_duration_seconds_sum{http_request_method="POST",hyssopstair_verdict="done"} 0.02
         hyssopstair_request_duration_seconds_count{http_request_method="POST",hyssopstair_verdict="done"} 1
