Send mass changes as runs of three bytes a member

Cause: a lost zone of 14,000 members spread within the byte budget in minutes: half of the entries were stale for 85 s, 13 % after 256 s.

Change: when more than 200 changes wait, neighbouring addresses with the same state go out as a run: skip and a 16-bit check over the entry before the change, which only a receiver with that entry takes. The burst falls from 24,000 to 9,000 bytes, so that no 15 s exceed 3,000 B/s.

--- a/crates/roster/examples/control_cost.rs
+++ b/crates/roster/examples/control_cost.rs
@@ -105,6 +105,9 @@
     /// share of the fleet that the lost members are
     #[argh(option, default = "0.25")]
     share: f64,
+    /// whether the members were gone and come back, as after a partition
+    #[argh(switch)]
+    back: bool,
     /// simulated seconds at most
     #[argh(option, default = "1_800")]
     seconds: u64,
@@ -382,12 +385,24 @@
 fn measure_lost(arguments: &LostArguments) {
     let mut bag = MessageBag::new(SEED);
     bag.start_fleet(arguments.members);
+    let state = if arguments.back {
+        MemberState::Gone
+    } else {
+        MemberState::Alive
+    };
     let lost: Vec<MemberEntry> = (arguments.members..arguments.members + arguments.lost)
-        .map(|number| entry(number, 100))
+        .map(|number| MemberEntry {
+            state,
+            ..entry(number, 100)
+        })
         .collect();
     tell_all(&mut bag, &lost);
-    declare_lost(&mut bag, &lost);
-    bag.redirected = 1.0 - arguments.share;
+    change_all(&mut bag, &lost);
+    bag.redirected = if arguments.back {
+        1.0
+    } else {
+        1.0 - arguments.share
+    };
     let start = bag.now;
     let sent: Vec<u64> = bag.nodes.iter().map(|node| node.sent_bytes).collect();
     let mut last = sent.clone();
@@ -398,7 +413,7 @@
             most = most.max(node.sent_bytes - *last);
             *last = node.sent_bytes;
         }
-        let stale = stale_entries(&bag, arguments.members);
+        let stale = stale_entries(&bag, arguments);
         let share = stale as f64 / (arguments.lost * arguments.members) as f64;
         if second.is_power_of_two() || stale == 0 {
             let total: u64 = bag.nodes.iter().map(|node| node.sent_bytes).sum();
@@ -425,18 +440,22 @@
     }
 }
 
-/// Has three members each find a lost member gone, as its watchers would.
-fn declare_lost(bag: &mut MessageBag, lost: &[MemberEntry]) {
+/// Has three members each learn what becomes of a lost member, as its watchers
+/// would.
+fn change_all(bag: &mut MessageBag, lost: &[MemberEntry]) {
     let mut random = StdRng::seed_from_u64(SEED);
     let now = bag.now;
     for known in lost {
-        let gone = MemberEntry {
-            state: MemberState::Gone,
-            ..*known
-        };
+        let mut changed = *known;
+        if known.state == MemberState::Gone {
+            changed.state = MemberState::Alive;
+            changed.counter += 1;
+        } else {
+            changed.state = MemberState::Gone;
+        }
         for _ in 0..WATCHERS {
             let number = random.random_range(0..bag.nodes.len());
-            let body = ControlBody::Changes(vec![gone]);
+            let body = ControlBody::Changes(vec![changed]);
             let told = message(entry(1, 100), body);
             let actions = bag.nodes[number].roster.receive(&told, now);
             bag.carry_out(number, actions);
@@ -444,8 +463,12 @@
     }
 }
 
-fn stale_entries(bag: &MessageBag, members: usize) -> usize {
-    let stale = |node: &bag::BagNode| node.roster.live() - members;
+fn stale_entries(bag: &MessageBag, arguments: &LostArguments) -> usize {
+    let known = |node: &bag::BagNode| node.roster.live() - arguments.members;
+    let stale = |node| match arguments.back {
+        true => arguments.lost - known(node),
+        false => known(node),
+    };
     bag.nodes.iter().map(stale).sum()
 }
 
--- a/crates/roster/src/budget.rs
+++ b/crates/roster/src/budget.rs
@@ -5,8 +5,9 @@
 /// Bytes that a process may send per second, IP and UDP headers included.
 pub const BYTES_PER_SECOND: u64 = 2_400;
 
-/// Bytes that may be sent at once after a quiet time.
-pub const BURST_BYTES: u64 = 24_000;
+/// Bytes that may be sent at once after a quiet time: with the rate above, at
+/// most 3,000 a second over any 15 seconds.
+pub const BURST_BYTES: u64 = 9_000;
 
 /// Bytes of the IPv4 and UDP headers of a datagram.
 pub const DATAGRAM_OVERHEAD: u64 = 28;
--- a/crates/roster/src/exchange.rs
+++ b/crates/roster/src/exchange.rs
@@ -8,6 +8,7 @@
 use hyssopstair_wire::control::MAX_ENTRIES;
 use hyssopstair_wire::control::MemberEntry;
 use hyssopstair_wire::control::MemberState;
+use hyssopstair_wire::control::RunMember;
 use hyssopstair_wire::time::MonotonicTime;
 use rand::RngExt;
 
@@ -16,6 +17,8 @@
 use crate::digest::differing;
 use crate::digest::leaf_entries;
 use crate::digest::leaf_hashes;
+use crate::runs::decode_run;
+use crate::runs::entry_after;
 use crate::state::RelayRecord;
 use crate::state::RosterAction;
 use crate::state::RosterState;
@@ -41,6 +44,11 @@
         self.heard = now;
         match &message.body {
             ControlBody::Changes(entries) => self.learn(entries, now),
+            ControlBody::Run {
+                state,
+                first,
+                members,
+            } => self.learn_run(*state, *first, members, now),
             ControlBody::Ping { number, changes } => {
                 self.learn(changes, now);
                 self.answer_ping(&mut actions, sender, *number, changes, now);
@@ -100,6 +108,22 @@
         }
     }
 
+    fn learn_run(
+        &mut self,
+        state: MemberState,
+        first: SocketAddrV4,
+        members: &[RunMember],
+        now: MonotonicTime,
+    ) {
+        for (address, check) in decode_run(first, members) {
+            let known = self.table.find(address);
+            let entry = known.and_then(|known| entry_after(known, state, check));
+            if let Some(entry) = entry {
+                self.learn(&[entry], now);
+            }
+        }
+    }
+
     /// Answers what others say about the address of this process.
     fn hear_of_me(&mut self, entry: &MemberEntry, now: MonotonicTime) {
         if self.me.state == MemberState::Gone {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -3,7 +3,7 @@
 //! Start with [`state`] for the members that a process knows, and [`versions`]
 //! for the rule that a configuration never goes back. The parts of the roster:
 //! [`members`] keeps the entries, [`queue`] the changes that are still to be
-//! sent, [`watch`] finds members that fail, [`digest`] compares two rosters,
+//! sent, [`runs`] their short form, [`watch`] finds members that fail, [`digest`] compares two rosters,
 //! [`presence`] says whether the process itself may act, and [`budget`] bounds
 //! what is sent.
 
@@ -13,6 +13,7 @@
 pub mod members;
 pub mod presence;
 pub mod queue;
+pub mod runs;
 pub mod state;
 pub mod versions;
 pub mod watch;
--- a/crates/roster/src/queue.rs
+++ b/crates/roster/src/queue.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddrV4;
 
-/// Changes that wait at most before each is sent fewer times.
+/// Changes that wait at most before each is sent fewer times, and as runs.
 const LONG_QUEUE: usize = 200;
 
 /// Times that a change is sent while the queue is long; digests do the rest.
-const FEW_SENDS: u32 = 3;
+const FEW_SENDS: u32 = 6;
 
 /// Times that a change is sent beyond the logarithm of the fleet's size.
 const EXTRA_SENDS: u32 = 4;
@@ -35,6 +35,29 @@
         self.changes.len()
     }
 
+    /// Returns whether many changes wait.
+    pub fn is_long(&self) -> bool {
+        self.changes.len() > LONG_QUEUE
+    }
+
+    /// Returns the members of all changes that wait, by address.
+    pub fn addresses(&self) -> Vec<SocketAddrV4> {
+        let mut addresses: Vec<SocketAddrV4> =
+            self.changes.iter().map(|change| change.address).collect();
+        addresses.sort_unstable();
+        addresses
+    }
+
+    /// Counts changes as sent once. `addresses` is sorted.
+    pub fn count_sent(&mut self, addresses: &[SocketAddrV4]) {
+        for change in &mut self.changes {
+            if addresses.binary_search(&change.address).is_ok() {
+                change.sends -= 1;
+            }
+        }
+        self.changes.retain(|change| change.sends > 0);
+    }
+
     /// Adds a change, in place of an earlier one of the same member.
     ///
     /// With each change sent `ln n + 4` times by each of `n` members, the share
@@ -42,7 +65,7 @@
     pub fn push(&mut self, address: SocketAddrV4, fleet: usize) {
         self.changes.retain(|change| change.address != address);
         let sends = (fleet.max(1) as f64).ln().ceil() as u32 + EXTRA_SENDS;
-        let sends = if self.changes.len() > LONG_QUEUE {
+        let sends = if self.is_long() {
             sends.min(FEW_SENDS)
         } else {
             sends
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -26,6 +26,9 @@
 use crate::presence::PAUSE_LIMIT;
 use crate::presence::PresenceState;
 use crate::queue::ChangeQueue;
+use crate::runs::MAX_RUN;
+use crate::runs::MIN_RUN;
+use crate::runs::encode_run;
 use crate::watch::PROBE_INTERVAL;
 use crate::watch::SUSPICION_TIME;
 use crate::watch::SilentMember;
@@ -429,16 +432,47 @@
             let Some(to) = self.random_live() else {
                 return;
             };
-            let addresses = self.queue.take(MAX_ENTRIES);
-            let entries = addresses
-                .iter()
-                .filter_map(|address| self.table.find(*address).copied())
-                .collect();
-            let body = ControlBody::Changes(entries);
+            let body = self.next_run().unwrap_or_else(|| self.next_changes());
             self.send(actions, SendClass::Change, to, body, now);
         }
     }
 
+    fn next_changes(&mut self) -> ControlBody {
+        let addresses = self.queue.take(MAX_ENTRIES);
+        let entries = addresses
+            .iter()
+            .filter_map(|address| self.table.find(*address).copied())
+            .collect();
+        ControlBody::Changes(entries)
+    }
+
+    /// Returns a run of changes, if many wait and enough of them follow each
+    /// other. It starts anywhere, so that members pass on different runs.
+    fn next_run(&mut self) -> Option<ControlBody> {
+        if !self.queue.is_long() {
+            return None;
+        }
+        let addresses = self.queue.addresses();
+        let start = self.random.random_range(0..addresses.len());
+        let entries: Vec<MemberEntry> = addresses[start..]
+            .iter()
+            .take(MAX_RUN)
+            .filter_map(|address| self.table.find(*address).copied())
+            .collect();
+        let members = encode_run(&entries);
+        if members.len() < MIN_RUN {
+            return None;
+        }
+        self.queue
+            .count_sent(&addresses[start..start + members.len()]);
+        let first = entries[0];
+        Some(ControlBody::Run {
+            state: first.state,
+            first: first.process.address,
+            members,
+        })
+    }
+
     fn probe_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
         self.relays
             .retain(|relay| now.since(relay.sent) < RELAY_TIME);
--- a/crates/roster/tests/bag/mod.rs
+++ b/crates/roster/tests/bag/mod.rs
@@ -251,7 +251,7 @@
         let to = (message.to.ip().to_bits() - 0x0a00_0000) as usize;
         let shared = matches!(
             message.message.body,
-            ControlBody::Changes(_) | ControlBody::Digest { .. }
+            ControlBody::Changes(_) | ControlBody::Run { .. } | ControlBody::Digest { .. }
         );
         if to >= self.nodes.len() && shared && self.random.random_bool(self.redirected) {
             return self.random.random_range(0..self.nodes.len());
--- /dev/null
+++ b/crates/roster/tests/runs.rs
@@ -0,0 +1,86 @@
+//! Changes in short form.
+
+#![allow(missing_docs)]
+
+#[allow(dead_code)]
+mod bag;
+
+use bag::entry;
+use hyssopstair_roster::runs::MAX_RUN;
+use hyssopstair_roster::runs::decode_run;
+use hyssopstair_roster::runs::encode_run;
+use hyssopstair_roster::runs::entry_after;
+use hyssopstair_wire::address::HostIncarnation;
+use hyssopstair_wire::control::ControlBody;
+use hyssopstair_wire::control::ControlMessage;
+use hyssopstair_wire::control::MAX_CONTROL_LENGTH;
+use hyssopstair_wire::control::MemberEntry;
+use hyssopstair_wire::control::MemberState;
+use hyssopstair_wire::packet::PacketKind;
+use hyssopstair_wire::packet::encode_packet;
+
+fn changed(numbers: impl Iterator<Item = usize>, state: MemberState) -> Vec<MemberEntry> {
+    numbers
+        .map(|number| MemberEntry {
+            counter: 3,
+            state,
+            ..entry(number, 100)
+        })
+        .collect()
+}
+
+#[test]
+fn a_run_gives_the_entries_that_went_in() {
+    for state in [MemberState::Gone, MemberState::Alive] {
+        let entries = changed((5..900).step_by(3), state);
+        let members = encode_run(&entries);
+        let before = if state == MemberState::Gone { 3 } else { 2 };
+        let decoded: Vec<MemberEntry> = decode_run(entries[0].process.address, &members)
+            .zip(&entries)
+            .filter_map(|((address, check), entry)| {
+                assert_eq!(address, entry.process.address);
+                let known = MemberEntry {
+                    counter: before,
+                    state: MemberState::Draining,
+                    ..*entry
+                };
+                entry_after(&known, state, check)
+            })
+            .collect();
+        assert_eq!(decoded, entries);
+    }
+}
+
+#[test]
+fn a_run_changes_no_other_entry_than_the_one_meant() {
+    let entries = changed(5..300, MemberState::Gone);
+    let members = encode_run(&entries);
+    let newer = decode_run(entries[0].process.address, &members)
+        .zip(&entries)
+        .filter(|((_, check), entry)| {
+            let mut known = **entry;
+            known.process.incarnation = HostIncarnation(101);
+            entry_after(&known, MemberState::Gone, *check).is_some()
+        });
+    assert_eq!(newer.count(), 0);
+}
+
+#[test]
+fn a_run_ends_at_a_gap_and_at_its_longest() {
+    let entries = changed((5..40).chain(900..950), MemberState::Gone);
+    assert_eq!(encode_run(&entries).len(), 35);
+    let entries = changed(1..2_000, MemberState::Gone);
+    let members = encode_run(&entries);
+    assert_eq!(members.len(), MAX_RUN);
+    let message = ControlMessage {
+        sender: entries[0].process,
+        version: u64::MAX,
+        body: ControlBody::Run {
+            state: MemberState::Gone,
+            first: entries[0].process.address,
+            members,
+        },
+    };
+    let packet = encode_packet(PacketKind::Control, &message, &[]).expect("fits");
+    assert!(packet.len() <= MAX_CONTROL_LENGTH, "{}", packet.len());
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -74,11 +74,29 @@
     pub body: ControlBody,
 }
 
+/// A member of a run of neighbouring addresses whose state changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunMember {
+    /// Addresses from the member before to this one; 0 for the first.
+    pub skip: u8,
+    /// Check over the entry before the change.
+    pub check: [u8; 2],
+}
+
 /// The kinds of membership message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlBody {
     /// Entries that changed of late.
     Changes(Vec<MemberEntry>),
+    /// Members that all changed to one state.
+    Run {
+        /// The state.
+        state: MemberState,
+        /// The address of the first member.
+        first: SocketAddrV4,
+        /// The members, by address.
+        members: Vec<RunMember>,
+    },
     /// Asks for an answer.
     Ping {
         /// Repeated in the answer.
