--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -11,13 +11,16 @@
 use arc_swap::ArcSwap;
 use error_stack::Report;
 use error_stack::ResultExt;
+use hyssopstair_platform::fetch::FetchState;
 use hyssopstair_roster::state::RosterAction;
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_roster::versions::ConfigState;
 use hyssopstair_roster::versions::OfferResult;
+use hyssopstair_routing::counts::PacketCounts;
 use hyssopstair_routing::view::RoutingView;
 use hyssopstair_rules::settings::DaemonSettings;
 use hyssopstair_rules::settings::RoleSettings;
+use hyssopstair_telemetry::counts::COUNTS;
 use hyssopstair_wire::address::HostIncarnation;
 use hyssopstair_wire::address::ProcessId;
 use hyssopstair_wire::address::ServiceId;
@@ -29,6 +32,7 @@
 use hyssopstair_wire::packet::encode_packet;
 use hyssopstair_wire::token::FleetSecret;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::clock::ProcessClock;
 use crate::clock::unix_millis;
@@ -50,8 +54,14 @@
     pub socket: Arc<UdpSocket>,
     /// The secret of the fleet.
     pub secret: FleetSecret,
+    /// Counts of packets.
+    pub counts: PacketCounts,
     /// The name of the service, for a host.
     pub service_name: Option<String>,
+    /// The newest version that a peer was heard with.
+    pub fetch: Mutex<FetchState>,
+    /// Woken when a newer version is heard.
+    pub version_heard: Notify,
     zone_name: String,
     address: SocketAddrV4,
     incarnation: AtomicU32,
@@ -72,7 +82,7 @@
             .await
             .change_context_lazy(|| {
                 DaemonError::new(format!(
-                    "failed to listen on inner address {}",
+                    "failed to listen on the address of the field \"inner\", {}",
                     settings.inner
                 ))
             })?;
@@ -88,13 +98,19 @@
             state: MemberState::Alive,
         };
         let config = ConfigState::default();
-        let roster = RosterState::new(entry, rand::random());
+        let mut roster = RosterState::new(entry, rand::random());
+        for address in &settings.contacts {
+            roster.add_contact(*address);
+        }
         let view = RoutingView::build(0, config.rules().clone(), &secret, &[]);
         Ok(Self {
             clock: ProcessClock::start(),
             socket: Arc::new(socket),
             secret,
+            counts: PacketCounts::default(),
             service_name,
+            fetch: Mutex::default(),
+            version_heard: Notify::new(),
             zone_name: settings.zone.clone(),
             address: me.address,
             incarnation: AtomicU32::new(me.incarnation.0),
@@ -159,7 +175,7 @@
         let result = lock(&self.config).offer(version, text);
         match result {
             OfferResult::Taken => {
-                log::info!("config: version {version} is in force");
+                log::info!(version; "config: a new version is in force");
                 self.announce_role();
                 self.rebuild_view();
                 true
@@ -265,6 +281,7 @@
                 log::warn!("gossip: a message is too long");
                 continue;
             };
+            COUNTS.control_sent.add(packet.len() as u64);
             // A lost message is repaired by later rounds.
             let _ = self.socket.send_to(&packet, to).await;
         }
--- a/crates/hyssopstaird/src/lib.rs
+++ b/crates/hyssopstaird/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ops;
 pub mod peer;
 pub mod secret;
+pub mod telemetry;
 
 use std::process::ExitCode;
 
@@ -27,7 +28,7 @@
     match commands::run::exec(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("error: {report:?}");
+            eprintln!("error: {report:#}");
             ExitCode::FAILURE
         }
     }
