--- a/crates/hyssopstair/src/ops/explain.rs
+++ b/crates/hyssopstair/src/ops/explain.rs
@@ -139,7 +139,8 @@
     match entry.state {
         MemberState::Gone => return Some("it is gone"),
         MemberState::Draining => return Some("it drains of its own accord"),
-        MemberState::Alive | MemberState::Suspect => {}
+        MemberState::Suspect => return Some("it does not answer"),
+        MemberState::Alive => {}
     }
     if service.withdrawn {
         return Some("a rule withdraws the service");
--- a/crates/hyssopstaird/src/control/entries.rs
+++ b/crates/hyssopstaird/src/control/entries.rs
@@ -1,7 +1,8 @@
 //! Finds the first members through the platform.
 //!
 //! The platform keeps a bounded number of addresses. A process reads them until
-//! it has found others, and takes over a slot whose holder is unknown to it.
+//! it has found others, and takes over a slot whose holder is unknown to it. A
+//! write whose answer is lost does no harm: a slot only names an address.
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -33,7 +34,7 @@
         };
         log_outage("entries", news);
         let jitter = rand::rng().random_range(0.0..1.0);
-        let members = node.members().len();
+        let members = node.live_members();
         tokio::time::sleep(poll_interval(members, outage.failures(), jitter)).await;
     }
 }
@@ -65,7 +66,7 @@
     let Some(address) = entry_address(entry) else {
         return false;
     };
-    node.members()
-        .iter()
-        .any(|member| member.process.address == address && member.state == MemberState::Alive)
+    let members = node.members();
+    let found = members.binary_search_by_key(&address, |member| member.process.address);
+    found.is_ok_and(|index| members[index].state == MemberState::Alive)
 }
--- a/crates/roster/src/digest.rs
+++ b/crates/roster/src/digest.rs
@@ -3,7 +3,7 @@
 //! Addresses are spread over [`BUCKETS`] buckets of [`BUCKETS`] leaves each. Two
 //! rosters first compare buckets, then the leaves of a bucket that differs, and
 //! then exchange the entries of leaves that differ. Entries of members that are
-//! gone are left out of the hashes, because each process forgets them at its
+//! suspect or gone are left out of the hashes, because each process forgets them at its
 //! own time.
 
 use std::hash::Hasher;
@@ -11,7 +11,6 @@
 
 use hyssopstair_wire::control::MemberEntry;
 use hyssopstair_wire::control::MemberRole;
-use hyssopstair_wire::control::MemberState;
 use siphasher::sip::SipHasher13;
 
 /// Buckets of a digest, and leaves of a bucket.
@@ -79,7 +78,7 @@
 }
 
 fn is_hashed(entry: &MemberEntry) -> bool {
-    entry.state != MemberState::Gone
+    entry.state.is_present()
 }
 
 fn entry_hash(entry: &MemberEntry, salt: u32) -> u16 {
--- a/crates/roster/src/exchange.rs
+++ b/crates/roster/src/exchange.rs
@@ -42,6 +42,11 @@
             return actions;
         }
         self.heard = now;
+        // A process that starts has not found its incarnation yet, and would
+        // announce the wrong one.
+        if self.presence.is_starting() && message.body.compares_rosters() {
+            return actions;
+        }
         match &message.body {
             ControlBody::Changes(entries) => self.learn(entries, now),
             ControlBody::Run {
@@ -275,7 +280,7 @@
         for entry in theirs {
             // Whoever is gone and already forgotten here need not be known again.
             let known = self.table.find(entry.process.address).is_some();
-            if known || entry.state != MemberState::Gone {
+            if known || entry.state.is_present() {
                 self.learn(std::slice::from_ref(entry), now);
             }
         }
@@ -298,9 +303,8 @@
         }
         // A process that starts has not found its incarnation yet.
         let unannounced = self.presence.is_starting().then_some(self.me.process);
-        let live = |entry: &&MemberEntry| {
-            entry.state != MemberState::Gone && Some(entry.process) != unannounced
-        };
+        let live =
+            |entry: &&MemberEntry| entry.state.is_present() && Some(entry.process) != unannounced;
         let mut entries: Vec<MemberEntry> = self
             .table
             .above(after)
@@ -365,7 +369,7 @@
 
 /// Returns whether an entry contradicts that its member is alive as `sender`.
 fn is_wrong(sender: ProcessId, entry: &MemberEntry) -> bool {
-    let gone = entry.state == MemberState::Gone && entry.process.incarnation == sender.incarnation;
+    let gone = !entry.state.is_present() && entry.process.incarnation == sender.incarnation;
     gone || entry.process.incarnation > sender.incarnation
 }
 
@@ -376,6 +380,6 @@
         .find(|known| known.process.address == entry.process.address);
     match found {
         Some(known) => entry.precedence() > known.precedence(),
-        None => entry.state != MemberState::Gone,
+        None => entry.state.is_present(),
     }
 }
--- a/crates/roster/src/members.rs
+++ b/crates/roster/src/members.rs
@@ -13,10 +13,14 @@
 /// announcement cannot bring it back.
 pub const TOMBSTONE_TIME: Duration = Duration::from_secs(3_600);
 
+/// How long a member may be silent before its flows are given up. A flow that
+/// waits costs less than one that is cut.
+pub const GIVE_UP_TIME: Duration = Duration::from_secs(30);
+
 /// Draws of a random member before a search gives up.
 const MAX_DRAWS: usize = 32;
 
-/// When a member was found gone.
+/// When a member was found suspect or gone.
 #[derive(Debug, Clone, Copy)]
 struct TombstoneRecord {
     address: SocketAddrV4,
@@ -42,7 +46,7 @@
         self.changes
     }
 
-    /// Returns the number of members that are not gone.
+    /// Returns the number of members that are present.
     pub fn live(&self) -> usize {
         self.entries.len() - self.tombstones.len()
     }
@@ -62,7 +66,10 @@
     /// Takes an entry if it says more than what is known, and returns whether
     /// it did.
     pub fn merge(&mut self, entry: &MemberEntry, now: MonotonicTime) -> bool {
-        match self.position(entry.process.address) {
+        let found = self.position(entry.process.address);
+        let known = found.ok().map(|index| &self.entries[index]);
+        let entry = &without_hearsay(entry, known);
+        match found {
             Ok(index) if entry.precedence() > self.entries[index].precedence() => {
                 self.entries[index] = *entry;
             }
@@ -74,6 +81,25 @@
         true
     }
 
+    /// Gives up the members that have been suspect for long. Every process does
+    /// so by itself, which takes no messages.
+    pub fn give_up_suspects(&mut self, now: MonotonicTime) {
+        for record in &self.tombstones {
+            if now.since(record.since) < GIVE_UP_TIME {
+                continue;
+            }
+            let found = self
+                .entries
+                .binary_search_by_key(&record.address, |entry| entry.process.address);
+            if let Ok(index) = found
+                && self.entries[index].state == MemberState::Suspect
+            {
+                self.entries[index].state = MemberState::Gone;
+                self.changes += 1;
+            }
+        }
+    }
+
     /// Drops the members that have been gone for long.
     pub fn forget_gone(&mut self, now: MonotonicTime) {
         let expired = |record: &TombstoneRecord| now.since(record.since) >= TOMBSTONE_TIME;
@@ -99,22 +125,22 @@
         self.changes += 1;
     }
 
-    /// Draws a member that is not gone, other than `me`.
+    /// Draws a member that is present, other than `me`.
     pub fn random_live(&self, me: SocketAddrV4, random: &mut StdRng) -> Option<SocketAddrV4> {
         for _ in 0..MAX_DRAWS {
             let index = random.random_range(0..self.entries.len().max(1));
             let entry = self.entries.get(index)?;
-            if entry.state != MemberState::Gone && entry.process.address != me {
+            if entry.state.is_present() && entry.process.address != me {
                 return Some(entry.process.address);
             }
         }
         self.entries
             .iter()
-            .find(|entry| entry.state != MemberState::Gone && entry.process.address != me)
+            .find(|entry| entry.state.is_present() && entry.process.address != me)
             .map(|entry| entry.process.address)
     }
 
-    /// Draws a member that is gone.
+    /// Draws a member that is suspect or gone.
     pub fn random_gone(&self, random: &mut StdRng) -> Option<SocketAddrV4> {
         if self.tombstones.is_empty() {
             return None;
@@ -139,7 +165,7 @@
         let found = self
             .tombstones
             .binary_search_by_key(&address, |record| record.address);
-        let gone = entry.state == MemberState::Gone;
+        let gone = !entry.state.is_present();
         match (found, gone) {
             (Ok(index), true) => self.tombstones[index].since = now,
             (Err(index), true) => {
@@ -161,3 +187,17 @@
             .binary_search_by_key(&address, |entry| entry.process.address)
     }
 }
+
+/// Returns an entry as far as it can be believed. A member that leaves raises
+/// its counter with its last word. That it is gone at a counter at which it was
+/// present is the word of others, who may have been cut off from it: it is
+/// suspect, and given up only if it stays silent.
+fn without_hearsay(entry: &MemberEntry, known: Option<&MemberEntry>) -> MemberEntry {
+    let is_hearsay =
+        known.is_some_and(|known| known.process == entry.process && known.counter == entry.counter);
+    let state = match entry.state {
+        MemberState::Gone if is_hearsay => MemberState::Suspect,
+        state => state,
+    };
+    MemberEntry { state, ..*entry }
+}
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -164,7 +164,7 @@
         self.table.entries()
     }
 
-    /// Returns the number of members that are not gone.
+    /// Returns the number of members that are present.
     pub fn live(&self) -> usize {
         self.table.live()
     }
@@ -263,6 +263,7 @@
         }
         if now >= self.rounds.probe {
             self.rounds.probe = now + PROBE_INTERVAL;
+            self.table.give_up_suspects(now);
             self.table.forget_gone(now);
             self.probe_round(&mut actions, now);
         }
@@ -342,7 +343,7 @@
             changes.push(self.me);
         }
         let known = self.table.find(to).copied();
-        changes.extend(known.filter(|entry| entry.state == MemberState::Gone));
+        changes.extend(known.filter(|entry| !entry.state.is_present()));
         let body = ControlBody::Ping { number, changes };
         self.send(actions, SendClass::Probe, to, body, now);
         number
@@ -482,7 +483,7 @@
         let round = self.watch.end_round(now);
         if !self.is_cut_off(now) {
             for target in &round.failed {
-                self.declare_gone(*target, now);
+                self.suspect(*target, now);
             }
         }
         self.refresh_watch();
@@ -502,7 +503,7 @@
         now.since(self.heard) >= SUSPICION_TIME && self.table.live() > WATCHERS + 1
     }
 
-    fn declare_gone(&mut self, target: ProcessId, now: MonotonicTime) {
+    fn suspect(&mut self, target: ProcessId, now: MonotonicTime) {
         let Some(known) = self.table.find(target.address) else {
             return;
         };
@@ -510,7 +511,7 @@
             return;
         }
         let entry = MemberEntry {
-            state: MemberState::Gone,
+            state: MemberState::Suspect,
             ..*known
         };
         if self.table.merge(&entry, now) {
@@ -565,7 +566,7 @@
             return;
         };
         let known = self.table.find(to);
-        if known.is_none_or(|entry| entry.state == MemberState::Gone) {
+        if known.is_none_or(|entry| !entry.state.is_present()) {
             self.ping(actions, to, now);
         }
     }
--- a/crates/roster/src/watch.rs
+++ b/crates/roster/src/watch.rs
@@ -11,7 +11,6 @@
 
 use hyssopstair_wire::address::ProcessId;
 use hyssopstair_wire::control::MemberEntry;
-use hyssopstair_wire::control::MemberState;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::digest::address_hash;
@@ -22,7 +21,7 @@
 /// Time between two pings of a watched member.
 pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a member is pinged in vain before it is declared gone.
+/// How long a member is pinged in vain before it is suspect.
 pub const SUSPICION_TIME: Duration = Duration::from_secs(4);
 
 /// Returns the members that the process at `me` watches: the next on the ring.
@@ -31,7 +30,7 @@
     let mut nearest: Vec<(u64, ProcessId)> = Vec::with_capacity(WATCHERS + 1);
     let others = entries
         .iter()
-        .filter(|entry| entry.state != MemberState::Gone && entry.process.address != me);
+        .filter(|entry| entry.state.is_present() && entry.process.address != me);
     for entry in others {
         let distance = address_hash(entry.process.address).wrapping_sub(origin);
         if nearest.len() == WATCHERS && distance >= nearest[WATCHERS - 1].0 {
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -173,10 +173,8 @@
     else {
         return None;
     };
-    // A suspect keeps its place: moving flows on a mere suspicion would part
-    // the packets of handshakes, and a suspect that is alive has lost nothing.
-    let takes_new = matches!(entry.state, MemberState::Alive | MemberState::Suspect);
-    if !takes_new || !rules.takes_new(service, entry.process.address) {
+    // A suspect was given up by its watchers; only its open flows wait for it.
+    if entry.state != MemberState::Alive || !rules.takes_new(service, entry.process.address) {
         return None;
     }
     let zone_weight = rules.service(service)?.weight(zone);
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -37,7 +37,7 @@
     Alive,
     /// Takes no new work, keeps what it has.
     Draining,
-    /// Does not answer; may still refute.
+    /// Did not answer its watchers: takes no new work, and its flows wait for it.
     Suspect,
     /// Is no longer there.
     Gone,
@@ -56,6 +56,13 @@
     pub state: MemberState,
 }
 
+impl MemberState {
+    /// Returns whether a member in this state answers others.
+    pub fn is_present(self) -> bool {
+        matches!(self, Self::Alive | Self::Draining)
+    }
+}
+
 impl MemberEntry {
     /// Returns what orders two entries about one address.
     pub fn precedence(&self) -> (HostIncarnation, u32, MemberState) {
@@ -164,6 +171,16 @@
     },
 }
 
+impl ControlBody {
+    /// Returns whether this is a step in the comparison of two rosters.
+    pub fn compares_rosters(&self) -> bool {
+        matches!(
+            self,
+            Self::Digest { .. } | Self::Leaves { .. } | Self::Fill { .. }
+        )
+    }
+}
+
 /// Longest control packet in bytes.
 pub const MAX_CONTROL_LENGTH: usize = 1_200;
 
