--- a/crates/hyssopstair/src/ops/load/caller.rs
+++ b/crates/hyssopstair/src/ops/load/caller.rs
@@ -52,6 +52,7 @@
 pub struct CallerFlow {
     sender: SendRequest<OpenStreams, Bytes>,
     service: String,
+    connection: quinn::Connection,
     _endpoint: Endpoint,
 }
 
@@ -120,8 +121,7 @@
             .await
             .map_err(|error| failed(&error))?
             .map_err(|error| failed(&error))?;
-        let connection = h3_quinn::Connection::new(connection);
-        let (mut driver, sender) = h3::client::new(connection)
+        let (mut driver, sender) = h3::client::new(h3_quinn::Connection::new(connection.clone()))
             .await
             .map_err(|error| failed(&error))?;
         tokio::spawn(async move {
@@ -130,6 +130,7 @@
         Ok(CallerFlow {
             sender,
             service: service.to_owned(),
+            connection,
             _endpoint: endpoint,
         })
     }
@@ -148,13 +149,38 @@
         key: &str,
         body: Bytes,
     ) -> Result<(Response<()>, AnswerStream), CallerError> {
-        let request = Request::builder()
+        let request = self
+            .request(method, path, key)
+            .body(())
+            .map_err(|error| CallerError(error.to_string()))?;
+        self.send(request, body).await
+    }
+
+    /// Returns why the flow has ended, if it has.
+    pub fn end_reason(&self) -> Option<CallerError> {
+        let reason = self.connection.close_reason()?;
+        Some(CallerError(reason.to_string()))
+    }
+
+    /// Begins a request to the service; headers may be added.
+    pub fn request(&self, method: &str, path: &str, key: &str) -> http::request::Builder {
+        Request::builder()
             .method(method)
             .uri(format!("https://{}{path}", self.service))
             .header("idempotency-key", key)
             .header("hyssopstair-tickets", "1")
-            .body(())
-            .map_err(|error| CallerError(error.to_string()))?;
+    }
+
+    /// Sends a request and returns its answer's head and stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the flow ends before the answer begins.
+    pub async fn send(
+        &self,
+        request: Request<()>,
+        body: Bytes,
+    ) -> Result<(Response<()>, AnswerStream), CallerError> {
         let mut sender = self.sender.clone();
         let mut stream = sender
             .send_request(request)
@@ -189,13 +215,25 @@
         key: &str,
         body: Bytes,
     ) -> Result<WholeAnswer, CallerError> {
-        let (head, mut stream) = self.ask(method, path, key, body).await?;
-        let mut bytes = Vec::new();
-        while let Some(chunk) = read_chunk(&mut stream).await? {
-            bytes.extend_from_slice(&chunk);
-        }
-        Ok(WholeAnswer { head, body: bytes })
+        let (head, stream) = self.ask(method, path, key, body).await?;
+        read_whole(head, stream).await
+    }
+}
+
+/// Reads an answer to its end.
+///
+/// # Errors
+///
+/// Returns an error when the answer ends before it is whole.
+pub async fn read_whole(
+    head: Response<()>,
+    mut stream: AnswerStream,
+) -> Result<WholeAnswer, CallerError> {
+    let mut body = Vec::new();
+    while let Some(chunk) = read_chunk(&mut stream).await? {
+        body.extend_from_slice(&chunk);
     }
+    Ok(WholeAnswer { head, body })
 }
 
 /// Reads the next part of an answer, or nothing at its end.
--- a/crates/hyssopstaird/src/balancer/mod.rs
+++ b/crates/hyssopstaird/src/balancer/mod.rs
@@ -10,7 +10,6 @@
 use hyssopstair_routing::balancer::DropReason;
 use hyssopstair_routing::balancer::RouteAction;
 use hyssopstair_routing::balancer::route_packet;
-use hyssopstair_routing::counts::PacketEvent;
 use hyssopstair_routing::loads::LoadTable;
 use hyssopstair_routing::reset::reset_packet;
 use hyssopstair_rules::settings::BalancerSettings;
@@ -98,7 +97,7 @@
         };
         match split_entry(&buffer[..length]) {
             Some((path, datagram)) => forward(&paths, &path, datagram, &mut outgoing).await,
-            None => paths.count_malformed(),
+            None => telemetry::count_dropped(DropReason::Malformed),
         }
     }
 }
@@ -113,7 +112,6 @@
     match route_packet(&context, path, datagram, paths.node.clock.now()) {
         RouteAction::Forward { host, header } => {
             telemetry::count_forwarded(&header);
-            paths.node.counts.count(PacketEvent::Forwarded);
             if let Ok(length) = write_packet(outgoing, PacketKind::Forward, &header, datagram) {
                 let packet = &outgoing[..length];
                 let _ = paths.node.socket.send_to(packet, host.address).await;
@@ -122,19 +120,15 @@
         RouteAction::Reset { connection } => {
             let key = view.reset_secret();
             if let Some(packet) = reset_packet(key, connection, datagram.len(), rand::random()) {
-                paths.node.counts.count(PacketEvent::Reset);
+                COUNTS.resets_sent.increment();
                 let back = EntryPath {
                     source: path.destination,
                     destination: path.source,
                 };
-                COUNTS.resets_sent.increment();
                 paths.send_to_caller(&back, &packet).await;
             }
         }
-        RouteAction::Drop(reason) => {
-            paths.node.counts.count(PacketEvent::Dropped(reason));
-            telemetry::count_dropped(reason);
-        }
+        RouteAction::Drop(reason) => telemetry::count_dropped(reason),
     }
 }
 
@@ -147,21 +141,23 @@
         match split_kind(&buffer[..length]) {
             Ok((PacketKind::Return, rest)) => give_back(&paths, rest).await,
             Ok((PacketKind::Control, rest)) => gossip::receive(&paths.node, rest).await,
-            Ok((PacketKind::Forward, _)) | Err(_) => paths.count_malformed(),
+            Ok((PacketKind::Forward, _)) | Err(_) => {
+                telemetry::count_dropped(DropReason::Malformed)
+            }
         }
     }
 }
 
 async fn give_back(paths: &BalancerPaths, rest: &[u8]) {
     let Ok((header, datagram)) = split_message::<ReturnHeader>(rest) else {
-        paths.count_malformed();
+        telemetry::count_dropped(DropReason::Malformed);
         return;
     };
-    COUNTS.packets_returned.increment();
     let now = paths.node.clock.now();
     note_returned(header.trace, now);
     paths.loads.hear(header.host, header.load, now);
-    paths.node.counts.count(PacketEvent::Returned);
+    COUNTS.packets_returned.increment();
+    note_returned(header.trace, now);
     let path = EntryPath {
         source: header.target,
         destination: header.caller,
@@ -170,11 +166,6 @@
 }
 
 impl BalancerPaths {
-    fn count_malformed(&self) {
-        let event = PacketEvent::Dropped(DropReason::Malformed);
-        self.node.counts.count(event);
-    }
-
     /// Sends a datagram to a caller. A datagram that cannot be sent is lost.
     async fn send_to_caller(&self, path: &EntryPath, datagram: &[u8]) {
         let packet = encode_entry(path, datagram);
--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -16,7 +16,6 @@
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_roster::versions::ConfigState;
 use hyssopstair_roster::versions::OfferResult;
-use hyssopstair_routing::counts::PacketCounts;
 use hyssopstair_routing::view::RoutingView;
 use hyssopstair_rules::settings::DaemonSettings;
 use hyssopstair_rules::settings::RoleSettings;
@@ -54,8 +53,6 @@
     pub socket: Arc<UdpSocket>,
     /// The secret of the fleet.
     pub secret: FleetSecret,
-    /// Counts of packets.
-    pub counts: PacketCounts,
     /// The name of the service, for a host.
     pub service_name: Option<String>,
     /// The newest version that a peer was heard with.
@@ -107,7 +104,6 @@
             clock: ProcessClock::start(),
             socket: Arc::new(socket),
             secret,
-            counts: PacketCounts::default(),
             service_name,
             fetch: Mutex::default(),
             version_heard: Notify::new(),
