--- a/crates/roster/src/members.rs
+++ b/crates/roster/src/members.rs
@@ -140,13 +140,14 @@
             .map(|entry| entry.process.address)
     }
 
-    /// Draws a member that is suspect or gone.
-    pub fn random_gone(&self, random: &mut StdRng) -> Option<SocketAddrV4> {
-        if self.tombstones.is_empty() {
-            return None;
-        }
-        let index = random.random_range(0..self.tombstones.len());
-        Some(self.tombstones[index].address)
+    /// Returns the next member after `address` that is suspect or gone, the first
+    /// one again after the last.
+    pub fn absent_after(&self, address: SocketAddrV4) -> Option<SocketAddrV4> {
+        let next = self
+            .tombstones
+            .partition_point(|record| record.address <= address);
+        let record = self.tombstones.get(next).or(self.tombstones.first());
+        record.map(|record| record.address)
     }
 
     /// Returns the entries with addresses above `after`.
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -65,7 +65,7 @@
 pub(crate) const SETTLE_TIME: Duration = Duration::from_secs(30);
 
 /// Time between two pings of a member that is gone, or of a contact.
-pub const CONTACT_INTERVAL: Duration = Duration::from_secs(10);
+pub const CONTACT_INTERVAL: Duration = Duration::from_secs(3);
 
 /// How long a process that joins waits for a page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -124,6 +124,8 @@
     pub(crate) random: StdRng,
     budget: SendBudget,
     contacts: Vec<SocketAddrV4>,
+    /// The absent member that was tried last.
+    last_absent: SocketAddrV4,
     watched_changes: u64,
     next_number: u32,
     version: u64,
@@ -147,6 +149,7 @@
             random: StdRng::seed_from_u64(seed),
             budget: SendBudget::default(),
             contacts: Vec::new(),
+            last_absent: me.process.address,
             watched_changes: 0,
             next_number: 0,
             version: 0,
@@ -236,6 +239,9 @@
     pub fn farewell(&mut self, version: u64, now: MonotonicTime) -> Vec<RosterAction> {
         self.version = version;
         let mut actions = Vec::new();
+        if self.presence.is_starting() {
+            return actions;
+        }
         for _ in 0..GOSSIP_FANOUT {
             let body = ControlBody::Changes(vec![self.me]);
             if let Some(to) = self.random_live() {
@@ -560,8 +566,9 @@
     /// Pings an address where nobody is known to be, so that two parts of the
     /// fleet that lost each other meet again.
     fn contact_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        let gone = self.table.random_gone(&mut self.random);
-        let address = gone.or_else(|| self.random_contact());
+        let absent = self.table.absent_after(self.last_absent);
+        self.last_absent = absent.unwrap_or(self.last_absent);
+        let address = absent.or_else(|| self.random_contact());
         let Some(to) = address.filter(|to| *to != self.me.process.address) else {
             return;
         };
--- a/crates/roster/tests/fleet_machine.rs
+++ b/crates/roster/tests/fleet_machine.rs
@@ -54,6 +54,7 @@
         let number = 0..fleet::PROCESSES;
         prop_oneof![
             4 => (100_u64..4_000).prop_map(FleetStep::Wait),
+            2 => (10_000_u64..50_000).prop_map(FleetStep::Wait),
             4 => (0..fleet::SERVICES, 0_u32..1_000)
                 .prop_map(|(service, caller)| FleetStep::Open { service, caller }),
             2 => number.clone().prop_map(FleetStep::Kill),
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -282,4 +282,8 @@
         };
         assert_eq!(roster.receive(&message, now), []);
     }
+    // It may know others by then.
+    roster.insert_known(&[entry(2, 1)], now);
+    roster.declare(MemberState::Draining, now);
+    assert_eq!(roster.farewell(0, now), []);
 }
