--- a/crates/roster/tests/fleet/mod.rs
+++ b/crates/roster/tests/fleet/mod.rs
@@ -265,7 +265,7 @@
         FleetProcess {
             roster,
             config: ConfigState::default(),
-            gate: service.map(|service| HostGate::new(process, service)),
+            gate: service.map(HostGate::new),
             running: true,
             paused_until: MonotonicTime::default(),
             paused_since: MonotonicTime::default(),
@@ -568,7 +568,8 @@
             return None;
         }
         let gate = process.gate.as_ref()?;
-        let action = gate.receive(header, packet, &self.load(number), self.now);
+        let me = process.roster.me().process.incarnation;
+        let action = gate.receive(me, header, packet, &self.load(number), self.now);
         Some(action == HostAction::Accept)
     }
 
