--- a/crates/roster/src/exchange.rs
+++ b/crates/roster/src/exchange.rs
@@ -8,6 +8,7 @@
 use hyssopstair_wire::control::MAX_ENTRIES;
 use hyssopstair_wire::control::MemberEntry;
 use hyssopstair_wire::control::MemberState;
+use hyssopstair_wire::control::RunMember;
 use hyssopstair_wire::time::MonotonicTime;
 use rand::RngExt;
 
@@ -16,6 +17,8 @@
 use crate::digest::differing;
 use crate::digest::leaf_entries;
 use crate::digest::leaf_hashes;
+use crate::runs::decode_run;
+use crate::runs::entry_after;
 use crate::state::RelayRecord;
 use crate::state::RosterAction;
 use crate::state::RosterState;
@@ -39,8 +42,18 @@
             return actions;
         }
         self.heard = now;
+        // A process that starts has not found its incarnation yet, and would
+        // announce the wrong one.
+        if self.presence.is_starting() && message.body.compares_rosters() {
+            return actions;
+        }
         match &message.body {
             ControlBody::Changes(entries) => self.learn(entries, now),
+            ControlBody::Run {
+                state,
+                first,
+                members,
+            } => self.learn_run(*state, *first, members, now),
             ControlBody::Ping { number, changes } => {
                 self.learn(changes, now);
                 self.answer_ping(&mut actions, sender, *number, changes, now);
@@ -100,6 +113,22 @@
         }
     }
 
+    fn learn_run(
+        &mut self,
+        state: MemberState,
+        first: SocketAddrV4,
+        members: &[RunMember],
+        now: MonotonicTime,
+    ) {
+        for (address, check) in decode_run(first, members) {
+            let known = self.table.find(address);
+            let entry = known.and_then(|known| entry_after(known, state, check));
+            if let Some(entry) = entry {
+                self.learn(&[entry], now);
+            }
+        }
+    }
+
     /// Answers what others say about the address of this process.
     fn hear_of_me(&mut self, entry: &MemberEntry, now: MonotonicTime) {
         if self.me.state == MemberState::Gone {
@@ -251,7 +280,7 @@
         for entry in theirs {
             // Whoever is gone and already forgotten here need not be known again.
             let known = self.table.find(entry.process.address).is_some();
-            if known || entry.state != MemberState::Gone {
+            if known || entry.state.is_present() {
                 self.learn(std::slice::from_ref(entry), now);
             }
         }
@@ -274,9 +303,8 @@
         }
         // A process that starts has not found its incarnation yet.
         let unannounced = self.presence.is_starting().then_some(self.me.process);
-        let live = |entry: &&MemberEntry| {
-            entry.state != MemberState::Gone && Some(entry.process) != unannounced
-        };
+        let live =
+            |entry: &&MemberEntry| entry.state.is_present() && Some(entry.process) != unannounced;
         let mut entries: Vec<MemberEntry> = self
             .table
             .above(after)
@@ -341,7 +369,7 @@
 
 /// Returns whether an entry contradicts that its member is alive as `sender`.
 fn is_wrong(sender: ProcessId, entry: &MemberEntry) -> bool {
-    let gone = entry.state == MemberState::Gone && entry.process.incarnation == sender.incarnation;
+    let gone = !entry.state.is_present() && entry.process.incarnation == sender.incarnation;
     gone || entry.process.incarnation > sender.incarnation
 }
 
@@ -352,6 +380,6 @@
         .find(|known| known.process.address == entry.process.address);
     match found {
         Some(known) => entry.precedence() > known.precedence(),
-        None => entry.state != MemberState::Gone,
+        None => entry.state.is_present(),
     }
 }
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -26,6 +26,9 @@
 use crate::presence::PAUSE_LIMIT;
 use crate::presence::PresenceState;
 use crate::queue::ChangeQueue;
+use crate::runs::MAX_RUN;
+use crate::runs::MIN_RUN;
+use crate::runs::encode_run;
 use crate::watch::PROBE_INTERVAL;
 use crate::watch::SUSPICION_TIME;
 use crate::watch::SilentMember;
@@ -62,7 +65,7 @@
 pub(crate) const SETTLE_TIME: Duration = Duration::from_secs(30);
 
 /// Time between two pings of a member that is gone, or of a contact.
-pub const CONTACT_INTERVAL: Duration = Duration::from_secs(10);
+pub const CONTACT_INTERVAL: Duration = Duration::from_secs(3);
 
 /// How long a process that joins waits for a page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -121,6 +124,8 @@
     pub(crate) random: StdRng,
     budget: SendBudget,
     contacts: Vec<SocketAddrV4>,
+    /// The absent member that was tried last.
+    last_absent: SocketAddrV4,
     watched_changes: u64,
     next_number: u32,
     version: u64,
@@ -144,6 +149,7 @@
             random: StdRng::seed_from_u64(seed),
             budget: SendBudget::default(),
             contacts: Vec::new(),
+            last_absent: me.process.address,
             watched_changes: 0,
             next_number: 0,
             version: 0,
@@ -161,7 +167,7 @@
         self.table.entries()
     }
 
-    /// Returns the number of members that are not gone.
+    /// Returns the number of members that are present.
     pub fn live(&self) -> usize {
         self.table.live()
     }
@@ -233,6 +239,9 @@
     pub fn farewell(&mut self, version: u64, now: MonotonicTime) -> Vec<RosterAction> {
         self.version = version;
         let mut actions = Vec::new();
+        if self.presence.is_starting() {
+            return actions;
+        }
         for _ in 0..GOSSIP_FANOUT {
             let body = ControlBody::Changes(vec![self.me]);
             if let Some(to) = self.random_live() {
@@ -260,6 +269,7 @@
         }
         if now >= self.rounds.probe {
             self.rounds.probe = now + PROBE_INTERVAL;
+            self.table.give_up_suspects(now);
             self.table.forget_gone(now);
             self.probe_round(&mut actions, now);
         }
@@ -339,7 +349,7 @@
             changes.push(self.me);
         }
         let known = self.table.find(to).copied();
-        changes.extend(known.filter(|entry| entry.state == MemberState::Gone));
+        changes.extend(known.filter(|entry| !entry.state.is_present()));
         let body = ControlBody::Ping { number, changes };
         self.send(actions, SendClass::Probe, to, body, now);
         number
@@ -429,16 +439,47 @@
             let Some(to) = self.random_live() else {
                 return;
             };
-            let addresses = self.queue.take(MAX_ENTRIES);
-            let entries = addresses
-                .iter()
-                .filter_map(|address| self.table.find(*address).copied())
-                .collect();
-            let body = ControlBody::Changes(entries);
+            let body = self.next_run().unwrap_or_else(|| self.next_changes());
             self.send(actions, SendClass::Change, to, body, now);
         }
     }
 
+    fn next_changes(&mut self) -> ControlBody {
+        let addresses = self.queue.take(MAX_ENTRIES);
+        let entries = addresses
+            .iter()
+            .filter_map(|address| self.table.find(*address).copied())
+            .collect();
+        ControlBody::Changes(entries)
+    }
+
+    /// Returns a run of changes, if many wait and enough of them follow each
+    /// other. It starts anywhere, so that members pass on different runs.
+    fn next_run(&mut self) -> Option<ControlBody> {
+        if !self.queue.is_long() {
+            return None;
+        }
+        let addresses = self.queue.addresses();
+        let start = self.random.random_range(0..addresses.len());
+        let entries: Vec<MemberEntry> = addresses[start..]
+            .iter()
+            .take(MAX_RUN)
+            .filter_map(|address| self.table.find(*address).copied())
+            .collect();
+        let members = encode_run(&entries);
+        if members.len() < MIN_RUN {
+            return None;
+        }
+        self.queue
+            .count_sent(&addresses[start..start + members.len()]);
+        let first = entries[0];
+        Some(ControlBody::Run {
+            state: first.state,
+            first: first.process.address,
+            members,
+        })
+    }
+
     fn probe_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
         self.relays
             .retain(|relay| now.since(relay.sent) < RELAY_TIME);
@@ -448,7 +489,7 @@
         let round = self.watch.end_round(now);
         if !self.is_cut_off(now) {
             for target in &round.failed {
-                self.declare_gone(*target, now);
+                self.suspect(*target, now);
             }
         }
         self.refresh_watch();
@@ -468,7 +509,7 @@
         now.since(self.heard) >= SUSPICION_TIME && self.table.live() > WATCHERS + 1
     }
 
-    fn declare_gone(&mut self, target: ProcessId, now: MonotonicTime) {
+    fn suspect(&mut self, target: ProcessId, now: MonotonicTime) {
         let Some(known) = self.table.find(target.address) else {
             return;
         };
@@ -476,7 +517,7 @@
             return;
         }
         let entry = MemberEntry {
-            state: MemberState::Gone,
+            state: MemberState::Suspect,
             ..*known
         };
         if self.table.merge(&entry, now) {
@@ -525,13 +566,14 @@
     /// Pings an address where nobody is known to be, so that two parts of the
     /// fleet that lost each other meet again.
     fn contact_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        let gone = self.table.random_gone(&mut self.random);
-        let address = gone.or_else(|| self.random_contact());
+        let absent = self.table.absent_after(self.last_absent);
+        self.last_absent = absent.unwrap_or(self.last_absent);
+        let address = absent.or_else(|| self.random_contact());
         let Some(to) = address.filter(|to| *to != self.me.process.address) else {
             return;
         };
         let known = self.table.find(to);
-        if known.is_none_or(|entry| entry.state == MemberState::Gone) {
+        if known.is_none_or(|entry| !entry.state.is_present()) {
             self.ping(actions, to, now);
         }
     }
