--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -41,7 +41,7 @@
         node.clone(),
     ));
     let desk = PeerDesk::new(node.clone());
-    peer::serve(settings.inner, &desk)?;
+    let _peers = peer::serve(settings.inner, &desk)?;
     control::spawn_loops(&node, &settings.platform);
     match &settings.role {
         RoleSettings::Balancer(role) => {
--- a/crates/hyssopstaird/src/peer/client.rs
+++ b/crates/hyssopstaird/src/peer/client.rs
@@ -108,10 +108,12 @@
         let (sender, receiver) = oneshot::channel();
         let context = Context::new(&self.socket).map_err(|_| PeerError::NotSent)?;
         let aio = answer_aio(context.clone(), sender).map_err(|_| PeerError::NotSent)?;
-        aio.set_timeout(Some(timeout))
+        let aio = AioGuard { aio };
+        aio.aio
+            .set_timeout(Some(timeout))
             .map_err(|_| PeerError::NotSent)?;
         context
-            .send(&aio, encode_request(request).as_slice())
+            .send(&aio.aio, encode_request(request).as_slice())
             .map_err(|_| PeerError::NotSent)?;
         let message = tokio::time::timeout(timeout, receiver)
             .await
@@ -121,6 +123,22 @@
     }
 }
 
+/// Ends an operation before its handle is dropped. A handle whose last owner is
+/// its own callback would wait for itself.
+struct AioGuard {
+    aio: Aio,
+}
+
+impl Drop for AioGuard {
+    fn drop(&mut self) {
+        let aio = self.aio.clone();
+        tokio::task::spawn_blocking(move || {
+            aio.cancel();
+            aio.wait();
+        });
+    }
+}
+
 type AnswerSender = oneshot::Sender<Result<Message, PeerError>>;
 
 /// Returns a handle that receives the answer once the question is sent.
--- a/crates/hyssopstaird/src/peer/server.rs
+++ b/crates/hyssopstaird/src/peer/server.rs
@@ -73,15 +73,23 @@
     }
 }
 
-/// Answers questions of peers until the process ends.
+/// Answers questions as long as it is kept.
+#[derive(Debug)]
+pub struct PeerServer {
+    _socket: Socket,
+    _workers: Vec<Aio>,
+}
+
+/// Starts to answer the questions of peers.
 ///
 /// # Errors
 ///
 /// Returns an error when the address is in use.
-pub fn serve(address: SocketAddrV4, desk: &PeerDesk) -> Result<(), Report<DaemonError>> {
+pub fn serve(address: SocketAddrV4, desk: &PeerDesk) -> Result<PeerServer, Report<DaemonError>> {
     let context = || DaemonError::new(format!("failed to listen for peers on {address}"));
     let socket = Socket::new(Protocol::Rep0).change_context_lazy(context)?;
     let handle = Handle::current();
+    let mut workers = Vec::with_capacity(WORKERS);
     for _ in 0..WORKERS {
         let worker = Context::new(&socket).change_context_lazy(context)?;
         let receiver = worker.clone();
@@ -92,11 +100,15 @@
         })
         .change_context_lazy(context)?;
         receiver.recv(&aio).change_context_lazy(context)?;
+        workers.push(aio);
     }
     socket
         .listen(&format!("tcp://{address}"))
         .change_context_lazy(context)?;
-    Ok(())
+    Ok(PeerServer {
+        _socket: socket,
+        _workers: workers,
+    })
 }
 
 fn step(worker: &Context, aio: &Aio, result: AioResult, desk: &PeerDesk, handle: &Handle) {
