--- a/crates/hyssopstaird/src/host/answer.rs
+++ b/crates/hyssopstaird/src/host/answer.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyssopstair_requests::verdict::RequestVerdict;
 use hyssopstair_requests::verdict::VERDICT_HEADER;
+use hyssopstair_telemetry::requests::note_verdict;
 use hyssopstair_wire::peer::HeaderField;
 use hyssopstair_wire::peer::WholeReply;
 
@@ -160,6 +161,7 @@
     }
 
     fn add_headers(&self, response: &mut Response<()>, verdict: RequestVerdict) {
+        note_verdict(verdict.header_value());
         let headers = response.headers_mut();
         let value = HeaderValue::from_static(verdict.header_value());
         headers.insert(VERDICT_HEADER, value);
--- a/crates/hyssopstaird/src/host/backend.rs
+++ b/crates/hyssopstaird/src/host/backend.rs
@@ -19,6 +19,9 @@
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use hyssopstair_requests::admission::SlotEnd;
+use hyssopstair_telemetry::requests::BACKEND_SPAN;
+use hyssopstair_telemetry::requests::hop;
+use hyssopstair_telemetry::requests::inject;
 use hyssopstair_wire::peer::BackendCall;
 use hyssopstair_wire::peer::HeaderField;
 use hyssopstair_wire::peer::WholeReply;
@@ -108,13 +111,13 @@
             retry_after: Duration::ZERO,
         };
     }
-    let sending = send(connection, call, remaining);
+    let sending = hop(BACKEND_SPAN, send(connection, call, remaining));
     let longest = remaining.unwrap_or(Duration::MAX);
     match tokio::time::timeout(longest, sending).await {
         Ok(Ok(response)) => judge(response, slot),
         Ok(Err(SendError::NotSent)) => fail(slot),
         Ok(Err(SendError::Broken(error))) => {
-            log::warn!("proxy: the backend server gave no answer: {error}");
+            log::warn!(error:% = error; "proxy: the backend server gave no answer");
             if let Some(slot) = slot {
                 slot.end(SlotEnd::Failed);
             }
@@ -198,6 +201,7 @@
         let millis = remaining.as_millis() as u64;
         headers.insert(DEADLINE_HEADER, millis.into());
     }
+    inject(headers);
     Some(request)
 }
 
--- a/crates/hyssopstaird/src/host/slots.rs
+++ b/crates/hyssopstaird/src/host/slots.rs
@@ -11,7 +11,7 @@
 use hyssopstair_requests::admission::SlotDecision;
 use hyssopstair_requests::admission::SlotEnd;
 use hyssopstair_requests::admission::SlotRequest;
-use hyssopstair_rules::rule_set::ServiceRule;
+use hyssopstair_rules::service_rule::ServiceRule;
 use hyssopstair_wire::time::MonotonicTime;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::Receiver;
--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -6,6 +6,8 @@
 use error_stack::ResultExt;
 use hyssopstair_rules::settings::DaemonSettings;
 use hyssopstair_rules::settings::RoleSettings;
+use hyssopstair_telemetry::logs;
+use hyssopstair_telemetry::logs::LogFormat;
 use hyssopstair_wire::control::MemberState;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -18,6 +20,7 @@
 use crate::host;
 use crate::peer;
 use crate::peer::server::PeerDesk;
+use crate::telemetry::DaemonTelemetry;
 
 /// Runs a daemon until it is told to stop.
 ///
@@ -25,7 +28,9 @@
 ///
 /// Returns an error when a part cannot start.
 pub fn run_daemon(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
-    hyssopstair_telemetry::logs::start();
+    let format =
+        LogFormat::from_environment().map_err(|text| Report::new(DaemonError::new(text)))?;
+    logs::start(format);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -35,10 +40,12 @@
 
 async fn run_parts(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
     let node = Arc::new(ControlNode::start(&settings).await?);
-    log::info!("daemon: started as {}", node.me());
+    log::info!(process:% = node.me(), zone = settings.zone.as_str(); "daemon: started");
+    let telemetry = DaemonTelemetry::start(&settings, &node)?;
     tokio::spawn(admin::serve(
         admin::bind(settings.admin).await?,
         node.clone(),
+        telemetry.metrics.clone(),
     ));
     let desk = PeerDesk::new(node.clone());
     let _peers = peer::serve(settings.inner, &desk)?;
@@ -59,6 +66,7 @@
     }
     node.declare(MemberState::Gone).await;
     log::info!("daemon: stopped");
+    telemetry.stop(&node).await;
     Ok(())
 }
 
