--- a/crates/hyssopstaird/src/host/settle.rs
+++ b/crates/hyssopstaird/src/host/settle.rs
@@ -28,9 +28,8 @@
     fingerprint: RequestFingerprint,
     patience: Duration,
 ) -> TicketResult {
-    if state.node.view().is_gone(ticket.issuer) {
-        return TicketResult::MayHaveRun;
-    }
+    // An issuer that the roster takes for gone may have been paused: it is asked
+    // all the same, and answers for its own incarnation only.
     let request = PeerRequest::Settle(SettleRequest {
         ticket: text.to_owned(),
         fingerprint: fingerprint.0,
