Give up a peer that does not connect in time, and stop without waiting for it

Cause: opening a connection to a frozen process returns after nng's own limit of 10 s, not after the 1 s that a settlement may take. A copy of an enrolment at another host was answered late, so the issuer was frozen for 20 s instead of 2 and was taken for gone when it woke; and a daemon that stopped waited for such a thread. Ruled out: the roster (the issuer is asked even when it counts as gone), the ticket ledger (its answer was right once it was asked).

Change: the wait has the limit of the question. A gate between the one that waits and the thread that sends tells whether the question went out, so that a relay that was not sent is still known not to have run. The daemon leaves its threads at the end.

--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -35,7 +35,10 @@
         .enable_all()
         .build()
         .change_context_lazy(|| DaemonError::new("failed to start threads"))?;
-    runtime.block_on(run_parts(settings))
+    let result = runtime.block_on(run_parts(settings));
+    // A thread may wait for a peer that is frozen; nothing depends on it now.
+    runtime.shutdown_background();
+    result
 }
 
 async fn run_parts(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
--- a/crates/hyssopstaird/src/peer/client.rs
+++ b/crates/hyssopstaird/src/peer/client.rs
@@ -1,6 +1,7 @@
 //! Asks other processes.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -56,6 +57,43 @@
     idle: Mutex<Vec<IdleLink>>,
 }
 
+/// Settles whether a question was sent, between the one that waits for the
+/// answer and the thread that sends.
+#[derive(Debug, Default)]
+struct SendGate {
+    state: Mutex<SendState>,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum SendState {
+    #[default]
+    Open,
+    Sent,
+    GivenUp,
+}
+
+impl SendGate {
+    /// Returns whether the question may be sent.
+    fn send(&self) -> bool {
+        let mut state = lock(&self.state);
+        if *state == SendState::GivenUp {
+            return false;
+        }
+        *state = SendState::Sent;
+        true
+    }
+
+    /// Returns what is known of the question once nobody waits for its answer.
+    fn give_up(&self) -> PeerError {
+        let mut state = lock(&self.state);
+        if *state == SendState::Sent {
+            return PeerError::NoAnswer;
+        }
+        *state = SendState::GivenUp;
+        PeerError::NotSent
+    }
+}
+
 impl PeerPool {
     /// Asks the process at `address`.
     ///
@@ -72,15 +110,25 @@
         let bytes = encode_request(request);
         // The blocking calls of nng are used, because its asynchronous
         // operations wait for their own end when the last handle goes in one.
+        let gate = Arc::new(SendGate::default());
+        let sender_gate = gate.clone();
         let asking = tokio::task::spawn_blocking(move || {
             let socket = match kept {
                 Some(socket) => socket,
                 None => open(address)?,
             };
+            if !sender_gate.send() {
+                return Err(PeerError::NotSent);
+            }
             let answer = ask_blocking(&socket, &bytes, timeout)?;
             Ok((socket, answer))
         });
-        let (socket, answer) = asking.await.map_err(|_| PeerError::NoAnswer)??;
+        // A connection to a frozen process opens only after nng's own limit of
+        // 10 seconds, for which nobody waits here.
+        let Ok(asked) = tokio::time::timeout(timeout, asking).await else {
+            return Err(gate.give_up());
+        };
+        let (socket, answer) = asked.map_err(|_| PeerError::NoAnswer)??;
         self.keep(IdleLink { address, socket });
         Ok(answer)
     }
