Keep idle flows of a leaving host open for 5 s after their callers are told

Cause: a new test puts several faults and planned changes together under load (a balancer killed, a drain, a host told to stop, the platform frozen, another balancer killed). A leaving host told its callers to go elsewhere and closed each flow without a request at the next look, up to 0.5 s later, so requests that were on their way were lost with the connection: 8 flows counted as broken, and up to 7 requests whose fate their callers could not know. Ruled out: the balancers (all errors were closes by the server), feeds (none ended).

Change: such a flow stays open for 5 s after the caller was told. The load tool acts as a caller should: it opens a new flow when it is told to go elsewhere, drops the tickets of the leaving host, asks an idempotent request again, and counts a request that was never sent as not run.

--- a/crates/hyssopstair/src/ops/load/caller.rs
+++ b/crates/hyssopstair/src/ops/load/caller.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Buf;
@@ -17,6 +19,7 @@
 use http::Request;
 use http::Response;
 use quinn::ClientConfig;
+use quinn::ConnectionError;
 use quinn::Endpoint;
 use quinn::TransportConfig;
 use quinn::crypto::rustls::QuicClientConfig;
@@ -41,8 +44,14 @@
 
 /// Why a request or a flow has failed.
 #[derive(Debug, thiserror::Error)]
-#[error("{0}")]
-pub struct CallerError(pub String);
+pub enum CallerError {
+    /// The request was not sent.
+    #[error("{0}")]
+    Unsent(String),
+    /// The request was sent, in part at least, or the flow has failed.
+    #[error("{0}")]
+    Lost(String),
+}
 
 /// The stream of a request whose body is sent.
 pub type AnswerStream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
@@ -53,6 +62,7 @@
     sender: SendRequest<OpenStreams, Bytes>,
     service: String,
     connection: quinn::Connection,
+    leaving: Arc<AtomicBool>,
     _endpoint: Endpoint,
 }
 
@@ -111,7 +121,7 @@
         service: &str,
         address: SocketAddr,
     ) -> Result<CallerFlow, CallerError> {
-        let failed = |error: &dyn std::fmt::Display| CallerError(error.to_string());
+        let failed = |error: &dyn std::fmt::Display| CallerError::Lost(error.to_string());
         let endpoint = Endpoint::client(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
             .map_err(|error| failed(&error))?;
         let connecting = endpoint
@@ -131,6 +141,7 @@
             sender,
             service: service.to_owned(),
             connection,
+            leaving: Arc::default(),
             _endpoint: endpoint,
         })
     }
@@ -152,14 +163,25 @@
         let request = self
             .request(method, path, key)
             .body(())
-            .map_err(|error| CallerError(error.to_string()))?;
+            .map_err(|error| CallerError::Lost(error.to_string()))?;
         self.send(request, body).await
     }
 
-    /// Returns why the flow has ended, if it has.
+    /// Returns why the flow has broken, if it has. An end that the service
+    /// announced, with no request in progress, is no break.
     pub fn end_reason(&self) -> Option<CallerError> {
         let reason = self.connection.close_reason()?;
-        Some(CallerError(reason.to_string()))
+        if is_announced(&reason) {
+            return None;
+        }
+        Some(CallerError::Lost(reason.to_string()))
+    }
+
+    /// Returns whether the service has told the caller to go elsewhere; the
+    /// request that was refused for it was not sent.
+    pub fn is_leaving(&self) -> bool {
+        let reason = self.connection.close_reason();
+        self.leaving.load(Ordering::Relaxed) || reason.as_ref().is_some_and(is_announced)
     }
 
     /// Begins a request to the service; headers may be added.
@@ -182,24 +204,26 @@
         body: Bytes,
     ) -> Result<(Response<()>, AnswerStream), CallerError> {
         let mut sender = self.sender.clone();
-        let mut stream = sender
-            .send_request(request)
-            .await
-            .map_err(|error| CallerError(error.to_string()))?;
+        let mut stream = sender.send_request(request).await.map_err(|error| {
+            if self.connection.close_reason().is_none() {
+                self.leaving.store(true, Ordering::Relaxed);
+            }
+            CallerError::Unsent(error.to_string())
+        })?;
         if !body.is_empty() {
             stream
                 .send_data(body)
                 .await
-                .map_err(|error| CallerError(error.to_string()))?;
+                .map_err(|error| CallerError::Lost(error.to_string()))?;
         }
         stream
             .finish()
             .await
-            .map_err(|error| CallerError(error.to_string()))?;
+            .map_err(|error| CallerError::Lost(error.to_string()))?;
         let head = stream
             .recv_response()
             .await
-            .map_err(|error| CallerError(error.to_string()))?;
+            .map_err(|error| CallerError::Lost(error.to_string()))?;
         Ok((head, stream))
     }
 
@@ -220,6 +244,16 @@
     }
 }
 
+/// Returns whether a service has closed a flow after it told the caller to go
+/// elsewhere.
+fn is_announced(reason: &ConnectionError) -> bool {
+    const H3_NO_ERROR: u64 = 0x100;
+    match reason {
+        ConnectionError::ApplicationClosed(close) => close.error_code.into_inner() == H3_NO_ERROR,
+        _ => false,
+    }
+}
+
 /// Reads an answer to its end.
 ///
 /// # Errors
@@ -245,6 +279,6 @@
     let chunk = stream
         .recv_data()
         .await
-        .map_err(|error| CallerError(error.to_string()))?;
+        .map_err(|error| CallerError::Lost(error.to_string()))?;
     Ok(chunk.map(|mut chunk| chunk.copy_to_bytes(chunk.remaining())))
 }
--- a/crates/hyssopstair/src/ops/load/feeds.rs
+++ b/crates/hyssopstair/src/ops/load/feeds.rs
@@ -40,7 +40,7 @@
         let path = format!("/feed/{name}");
         let (head, mut stream) = flow.ask("GET", &path, "", Bytes::new()).await?;
         if !head.status().is_success() {
-            return Err(CallerError(format!("status {}", head.status())));
+            return Err(CallerError::Lost(format!("status {}", head.status())));
         }
         read_lines(&mut stream, name).await
     };
@@ -57,11 +57,11 @@
         buffer.push_str(&String::from_utf8_lossy(&chunk));
         while let Some((line, rest)) = buffer.split_once('\n') {
             if line != format!("{name} {expected}") {
-                return Err(CallerError(format!("unexpected line \"{line}\"")));
+                return Err(CallerError::Lost(format!("unexpected line \"{line}\"")));
             }
             expected += 1;
             buffer = rest.to_owned();
         }
     }
-    Err(CallerError("the feed has ended".to_owned()))
+    Err(CallerError::Lost("the feed has ended".to_owned()))
 }
--- a/crates/hyssopstair/src/ops/load/groups.rs
+++ b/crates/hyssopstair/src/ops/load/groups.rs
@@ -129,7 +129,8 @@
     loop {
         tokio::time::sleep(FLOW_LOOK).await;
         let broken = lock(&place).as_ref().and_then(TicketFlow::end_reason);
-        let is_over = life.is_some_and(|life| opened.elapsed() >= life);
+        let is_leaving = lock(&place).as_ref().is_some_and(TicketFlow::is_leaving);
+        let is_over = is_leaving || life.is_some_and(|life| opened.elapsed() >= life);
         if let Some(reason) = broken {
             run.tally.flow_broken("flow", &reason);
             *lock(&place) = None;
--- a/crates/hyssopstair/src/ops/load/requests.rs
+++ b/crates/hyssopstair/src/ops/load/requests.rs
@@ -59,6 +59,11 @@
         self.flow.end_reason()
     }
 
+    /// Returns whether the service has told the caller to go elsewhere.
+    pub fn is_leaving(&self) -> bool {
+        self.flow.is_leaving()
+    }
+
     /// Sends a request with its deadline and trace, and waits for the answer.
     async fn ask(&self, request: &LoadRequest) -> Result<WholeAnswer, CallerError> {
         let mut builder = self
@@ -72,7 +77,7 @@
         }
         let head = builder
             .body(())
-            .map_err(|error| CallerError(error.to_string()))?;
+            .map_err(|error| CallerError::Lost(error.to_string()))?;
         let (head, stream) = self.flow.send(head, request.body.clone()).await?;
         read_whole(head, stream).await
     }
@@ -136,13 +141,17 @@
         if is_once {
             ask_with_ticket(&flow, &other, &mut request).await
         } else {
-            flow.ask(&request).await
+            match flow.ask(&request).await {
+                Ok(answer) => Ok(answer),
+                // Asking again changes nothing.
+                Err(_) => other.ask(&request).await,
+            }
         }
     };
     let answer = match plan.group.deadline_millis {
         Some(millis) => {
             let wait = Duration::from_millis(millis) + DEADLINE_GRACE;
-            let late = Err(CallerError("no answer at the deadline".to_owned()));
+            let late = Err(CallerError::Lost("no answer at the deadline".to_owned()));
             tokio::time::timeout(wait, asking).await.unwrap_or(late)
         }
         None => asking.await,
@@ -164,7 +173,7 @@
 ) -> Result<WholeAnswer, CallerError> {
     let mut flow = flow;
     request.key = flow.take_ticket();
-    let mut last = Err(CallerError("the request was not sent".to_owned()));
+    let mut last = Err(CallerError::Lost("the request was not sent".to_owned()));
     for _ in 0..MAX_TRIES {
         last = flow.ask(request).await;
         match &last {
@@ -175,8 +184,13 @@
                 }
                 request.key = flow.take_ticket();
             }
+            // The ticket is unused, and its issuer leaves: take another.
+            Err(CallerError::Unsent(_)) => {
+                flow = other;
+                request.key = flow.take_ticket();
+            }
             // The answer is lost: another host asks the issuer of the ticket.
-            Err(_) => flow = other,
+            Err(CallerError::Lost(_)) => flow = other,
         }
     }
     last
--- a/crates/hyssopstair/src/ops/load/tally.rs
+++ b/crates/hyssopstair/src/ops/load/tally.rs
@@ -176,8 +176,12 @@
 
     /// Counts a request that got no answer.
     pub fn unanswered(&self, error: &CallerError, due: Instant) {
+        let end = match error {
+            CallerError::Unsent(_) => RequestEnd::NotRun,
+            CallerError::Lost(_) => RequestEnd::MayHaveRun,
+        };
         let mut state = self.lock();
-        state.count(RequestEnd::MayHaveRun, self.second(due), due.elapsed());
+        state.count(end, self.second(due), due.elapsed());
         state.keep_error(format!("request: {error}"));
     }
 
--- a/crates/hyssopstaird/src/host/server.rs
+++ b/crates/hyssopstaird/src/host/server.rs
@@ -11,6 +11,7 @@
 use hyssopstair_rules::settings::HostSettings;
 use hyssopstair_telemetry::counts::COUNTS;
 use hyssopstair_telemetry::requests::RequestScope;
+use hyssopstair_wire::time::MonotonicTime;
 use quinn::EndpointConfig;
 use quinn::IdleTimeout;
 use quinn::ServerConfig;
@@ -39,6 +40,11 @@
 /// Requests of one flow that run at once.
 const MAX_STREAMS: u32 = 256;
 
+/// Time for which an unused flow stays open after its caller was told to go
+/// elsewhere: requests that were sent before the caller heard of it arrive, and
+/// are refused as not run, in place of being lost with the connection.
+const LEAVE_GRACE: Duration = Duration::from_secs(5);
+
 /// Time between two looks at what a leaving host still waits for.
 const DRAIN_LOOK: Duration = Duration::from_millis(500);
 
@@ -162,7 +168,7 @@
     };
     let tasks = TaskCount::default();
     let mut look = tokio::time::interval(DRAIN_LOOK);
-    let mut is_leaving = false;
+    let mut told: Option<MonotonicTime> = None;
     loop {
         tokio::select! {
             accepted = server.accept() => {
@@ -185,14 +191,17 @@
                 });
             }
             _ = look.tick() => {
-                if is_leaving && tasks.is_zero() {
-                    return;
-                }
-                if !is_leaving && state.is_draining() {
-                    is_leaving = true;
-                    if server.shutdown(0).await.is_err() {
-                        return;
+                let now = state.node.clock.now();
+                match told {
+                    Some(told) if tasks.is_zero() && now.since(told) >= LEAVE_GRACE => return,
+                    Some(_) => {}
+                    None if state.is_draining() => {
+                        told = Some(now);
+                        if server.shutdown(0).await.is_err() {
+                            return;
+                        }
                     }
+                    None => {}
                 }
             }
         }
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -282,6 +282,15 @@
     ///
     /// Returns an error with what the command printed when it fails.
     pub async fn command(&self, arguments: &[String]) -> Result<String, FleetError> {
+        Self::run_command(arguments.to_vec()).await
+    }
+
+    /// Runs the operators' command without a fleet at hand, as a task may.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with what the command printed when it fails.
+    pub async fn run_command(arguments: Vec<String>) -> Result<String, FleetError> {
         let mut command = Command::new(program("hyssopstair"));
         command.args(arguments);
         let output = tokio::task::spawn_blocking(move || command.output())
