Count handshakes as load of a host

Cause: a host counted a flow only after its handshake, so flows that arrive together were placed as by hashing, or worse. Ruled out: the balancer adding what it sent since a report (no gain).

--- a/crates/hyssopstaird/src/host/state.rs
+++ b/crates/hyssopstaird/src/host/state.rs
@@ -112,6 +112,7 @@
         let limit = service.map_or(0, |service| service.connections);
         HostLoad {
             flows: self.flows(),
+            pending: self.pending(),
             limit,
             draining: self.is_draining(),
         }
@@ -122,6 +123,20 @@
         self.flows.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of flows whose handshake is under way.
+    fn pending(&self) -> u32 {
+        let now = self.node.clock.now();
+        self.gate.get().map_or(0, |gate| gate.pending(now))
+    }
+
+    /// Notes that a handshake has ended, well or not. `connection` is the
+    /// connection ID that the caller chose for its first packets.
+    pub fn end_handshake(&self, connection: &[u8]) {
+        if let Some(gate) = self.gate.get() {
+            gate.end_handshake(connection);
+        }
+    }
+
     /// Counts a flow that opens.
     pub fn open_flow(&self) {
         self.flows.fetch_add(1, Ordering::Relaxed);
--- a/crates/roster/tests/fleet/mod.rs
+++ b/crates/roster/tests/fleet/mod.rs
@@ -477,6 +477,7 @@
     fn load(&self, number: usize) -> HostLoad {
         HostLoad {
             flows: 0,
+            pending: 0,
             limit: 1_000,
             draining: self.processes[number].drained.is_some(),
         }
--- a/crates/routing/examples/placement.rs
+++ b/crates/routing/examples/placement.rs
@@ -48,6 +48,16 @@
 const SAMPLE: u64 = 1_000_000;
 /// Time between two changes of the roster, in microseconds.
 const CHANGE: u64 = 10_000_000;
+/// Time between two bursts, in microseconds.
+const BURST_PERIOD: u64 = 30_000_000;
+/// Time from a burst to its measurement, in microseconds.
+const BURST_SAMPLE: u64 = 3_000_000;
+/// Time that the flows of a burst are open, in microseconds.
+const BURST_LIFETIME: u64 = 10_000_000;
+/// Bursts of a run.
+const BURSTS: u64 = 100;
+/// Time from a host to a balancer, in microseconds.
+const INNER_LATENCY: u64 = 500;
 /// Longest time until a balancer learns of a change, in microseconds.
 const LEARN: u64 = 2_000_000;
 /// Age of load reports under [`PlacementMethod::TwoChoices`], in ticks.
@@ -75,12 +85,17 @@
     /// Whether host 0 always reports that it has no flows.
     has_liar: bool,
     has_changes: bool,
+    /// Time in which all flows arrive together, in microseconds; without it
+    /// they arrive one by one.
+    burst: Option<u64>,
     seed: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum TrialEvent {
     Arrive,
+    Burst,
+    Reply { host: usize, flows: u32 },
     Packet { flow: usize, is_first: bool },
     Established { flow: usize },
     Depart { host: usize },
@@ -214,10 +229,18 @@
     }
 
     fn run(mut self) -> TrialResult {
-        let end = ((WARM_UP + MEASURED) * LIFETIME) as u64;
-        self.schedule(0, TrialEvent::Arrive);
+        let end = match self.plan.burst {
+            Some(_) => BURSTS * BURST_PERIOD,
+            None => ((WARM_UP + MEASURED) * LIFETIME) as u64,
+        };
         self.schedule(0, TrialEvent::Tick);
-        self.schedule(SAMPLE, TrialEvent::Sample);
+        match self.plan.burst {
+            Some(_) => self.schedule(0, TrialEvent::Burst),
+            None => {
+                self.schedule(0, TrialEvent::Arrive);
+                self.schedule(SAMPLE, TrialEvent::Sample);
+            }
+        }
         if self.plan.has_changes {
             self.schedule(CHANGE, TrialEvent::Change);
         }
@@ -235,12 +258,14 @@
     }
 
     fn is_measured(&self) -> bool {
-        self.now as f64 > WARM_UP * LIFETIME
+        self.plan.burst.is_some() || self.now as f64 > WARM_UP * LIFETIME
     }
 
     fn step(&mut self, event: TrialEvent) {
         match event {
             TrialEvent::Arrive => self.arrive(),
+            TrialEvent::Burst => self.burst(),
+            TrialEvent::Reply { host, flows } => self.reply(host, flows),
             TrialEvent::Packet { flow, is_first } => self.deliver(flow, is_first),
             TrialEvent::Established { flow } => self.establish(flow),
             TrialEvent::Depart { host } => self.hosts[host].flows -= 1,
@@ -264,8 +289,26 @@
         if self.random.random_bool(0.05) {
             self.schedule(REPETITION, packet(false));
         }
-        let next = self.exponential(LIFETIME / f64::from(self.plan.flows));
-        self.schedule(next, TrialEvent::Arrive);
+        if self.plan.burst.is_none() {
+            let next = self.exponential(LIFETIME / f64::from(self.plan.flows));
+            self.schedule(next, TrialEvent::Arrive);
+        }
+    }
+
+    fn burst(&mut self) {
+        let spread = self.plan.burst.unwrap_or(0);
+        for _ in 0..self.plan.flows {
+            let delay = self.random.random_range(0..=spread);
+            self.schedule(delay, TrialEvent::Arrive);
+        }
+        self.schedule(BURST_SAMPLE, TrialEvent::Sample);
+        self.schedule(BURST_PERIOD, TrialEvent::Burst);
+    }
+
+    /// A report that rides on the first packet that a host sends back.
+    fn reply(&mut self, host: usize, flows: u32) {
+        let balancer = self.random.random_range(0..BALANCERS);
+        self.report(host, flows, balancer);
     }
 
     fn deliver(&mut self, flow: usize, is_first: bool) {
@@ -274,6 +317,10 @@
             self.flows[flow].host = host;
             self.schedule(2 * self.plan.latency, TrialEvent::Established { flow });
             self.result.opened += u64::from(self.is_measured());
+            if let Some(host) = host {
+                let flows = self.load(host).report().flows;
+                self.schedule(INNER_LATENCY, TrialEvent::Reply { host, flows });
+            }
         }
         let is_parted = host.is_none() || self.flows[flow].host != host;
         if is_parted && !self.flows[flow].is_lost {
@@ -282,9 +329,14 @@
         }
     }
 
+    /// The connection ID that the caller of a flow chose.
+    fn connection(&self, flow: usize) -> [u8; 8] {
+        (flow as u64 ^ self.plan.seed << 32).to_be_bytes()
+    }
+
     fn route(&mut self, flow: usize, is_first: bool) -> Option<usize> {
         let mut datagram = vec![0xc0, 0, 0, 0, 1, 8];
-        datagram.extend_from_slice(&(flow as u64 ^ self.plan.seed << 32).to_be_bytes());
+        datagram.extend_from_slice(&self.connection(flow));
         let index = self.random.random_range(0..BALANCERS);
         let balancer = &self.balancers[index];
         let context = BalancerContext {
@@ -342,31 +394,48 @@
         now: MonotonicTime,
     ) -> HostAction<'a> {
         let host = &self.hosts[index];
-        let load = HostLoad {
+        let load = self.load(index);
+        host.gate
+            .receive(host.process.incarnation, header, datagram, &load, now)
+    }
+
+    fn load(&self, index: usize) -> HostLoad {
+        let host = &self.hosts[index];
+        HostLoad {
             flows: host.flows,
+            pending: host.gate.pending(MonotonicTime(self.now)),
             limit: CONNECTIONS,
             draining: host.draining,
-        };
-        host.gate
-            .receive(host.process.incarnation, header, datagram, &load, now)
+        }
     }
 
     fn establish(&mut self, flow: usize) {
+        let connection = self.connection(flow);
         let flow = self.flows[flow];
-        let Some(host) = flow.host.filter(|_| !flow.is_lost) else {
+        let Some(host) = flow.host else {
             return;
         };
+        // A lost handshake has a packet at this host all the same; its QUIC
+        // waits for the rest, so it counts until its lifetime is over.
+        if flow.is_lost {
+            return;
+        }
+        self.hosts[host].gate.end_handshake(&connection);
         self.hosts[host].flows += 1;
-        let lifetime = self.exponential(LIFETIME);
+        let lifetime = match self.plan.burst {
+            Some(_) => BURST_LIFETIME,
+            None => self.exponential(LIFETIME),
+        };
         self.schedule(lifetime, TrialEvent::Depart { host });
         let balancer = self.random.random_range(0..BALANCERS);
-        self.report(host, balancer);
+        let flows = self.load(host).report().flows;
+        self.report(host, flows, balancer);
     }
 
-    fn report(&self, host: usize, balancer: usize) {
+    fn report(&self, host: usize, flows: u32, balancer: usize) {
         let is_lie = self.plan.has_liar && host == 0;
         let report = LoadReport {
-            flows: if is_lie { 0 } else { self.hosts[host].flows },
+            flows: if is_lie { 0 } else { flows },
             takes_new: !self.hosts[host].draining,
         };
         let now = MonotonicTime(self.now);
@@ -383,7 +452,8 @@
             let rate = f64::from(flows) * RETURN_RATE * TICK as f64 / BALANCERS as f64;
             for balancer in 0..BALANCERS {
                 if self.random.random_bool(1.0 - (-rate).exp()) {
-                    self.report(host, balancer);
+                    let reported = self.load(host).report().flows;
+                    self.report(host, reported, balancer);
                 }
             }
         }
@@ -407,7 +477,9 @@
     }
 
     fn sample(&mut self) {
-        self.schedule(SAMPLE, TrialEvent::Sample);
+        if self.plan.burst.is_none() {
+            self.schedule(SAMPLE, TrialEvent::Sample);
+        }
         if !self.is_measured() {
             return;
         }
@@ -447,13 +519,14 @@
     let result = PlacementTrial::new(plan).run();
     println!(
         "{{\"deployment\":\"{}\",\"method\":\"{:?}\",\"flows\":{},\"liar\":{},\"changes\":{},\
-         \"max_over_mean\":{:.4},\"variation\":{:.4},\"opened\":{},\"handed_over\":{},\
+         \"burst_us\":{},\"max_over_mean\":{:.4},\"variation\":{:.4},\"opened\":{},\"handed_over\":{},\
          \"lost_handshakes\":{}}}",
         plan.name,
         plan.method,
         plan.flows,
         plan.has_liar,
         plan.has_changes,
+        plan.burst.unwrap_or(0),
         result.max_over_mean,
         result.variation,
         result.opened,
@@ -489,20 +562,50 @@
             PlacementMethod::TwoChoices,
         ]
     };
+    let bursts = std::env::args().any(|argument| argument == "--bursts");
     for (name, latency) in [("foundation", 3_500), ("hydroflow", 1_500)] {
-        for flows in [70, 700, 7_000, 12_000] {
-            for (has_liar, has_changes) in [(false, false), (true, false), (false, true)] {
-                for method in &methods {
-                    print_trial(TrialPlan {
-                        name,
-                        method: *method,
-                        flows,
-                        latency,
-                        has_liar,
-                        has_changes,
-                        seed: 1,
-                    });
-                }
+        let plan = |method: PlacementMethod, flows: u32| TrialPlan {
+            name,
+            method,
+            flows,
+            latency,
+            has_liar: false,
+            has_changes: false,
+            burst: None,
+            seed: 1,
+        };
+        if bursts {
+            print_bursts(&methods, plan);
+        } else {
+            print_arrivals(&methods, plan);
+        }
+    }
+}
+
+/// Prints trials with flows that arrive one by one.
+fn print_arrivals(methods: &[PlacementMethod], plan: impl Fn(PlacementMethod, u32) -> TrialPlan) {
+    for flows in [70, 700, 7_000, 12_000] {
+        for (has_liar, has_changes) in [(false, false), (true, false), (false, true)] {
+            for method in methods {
+                print_trial(TrialPlan {
+                    has_liar,
+                    has_changes,
+                    ..plan(*method, flows)
+                });
+            }
+        }
+    }
+}
+
+/// Prints trials with flows that arrive together at hosts without flows.
+fn print_bursts(methods: &[PlacementMethod], plan: impl Fn(PlacementMethod, u32) -> TrialPlan) {
+    for flows in [70, 700, 7_000] {
+        for spread in [1_000, 20_000, 200_000] {
+            for method in methods {
+                print_trial(TrialPlan {
+                    burst: Some(spread),
+                    ..plan(*method, flows)
+                });
             }
         }
     }
--- a/crates/routing/examples/routing_cost.rs
+++ b/crates/routing/examples/routing_cost.rs
@@ -152,6 +152,7 @@
         let gate = HostGate::new(ServiceId(0));
         let load = HostLoad {
             flows: 0,
+            pending: 0,
             limit: u32::MAX,
             draining: false,
         };
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -4,6 +4,7 @@
 //! packet that opens a flow is taken, or handed over once to the second host on
 //! the list, by the present load of the first.
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use hyssopstair_wire::address::HostIncarnation;
@@ -16,10 +17,12 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::balancer::DropReason;
+use crate::pending::PendingCount;
 use crate::quic::QuicForm;
 use crate::quic::parse_header;
 use crate::shard::ShardSet;
 use crate::shard::TableFootprint;
+use crate::shard::lock;
 
 /// What a host does with a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +59,9 @@
 pub struct HostLoad {
     /// Open flows.
     pub flows: u32,
+    /// Flows whose handshake is under way. They count when hosts are compared,
+    /// and not against the limit, because some of them never open.
+    pub pending: u32,
     /// Most flows that the rules allow.
     pub limit: u32,
     /// Whether the host takes nothing new.
@@ -68,10 +74,15 @@
         !self.draining && self.flows < self.limit
     }
 
+    /// Returns the flows that count when hosts are compared.
+    pub fn expected_flows(&self) -> u32 {
+        self.flows.saturating_add(self.pending)
+    }
+
     /// Returns what the host tells balancers.
     pub fn report(&self) -> LoadReport {
         LoadReport {
-            flows: self.flows,
+            flows: self.expected_flows(),
             takes_new: self.takes_new(),
         }
     }
@@ -112,6 +123,7 @@
     key: OpeningKey,
     passed_to: Option<ProcessId>,
     decided: MonotonicTime,
+    is_pending: bool,
 }
 
 #[derive(Debug, Default)]
@@ -126,6 +138,7 @@
     service: ServiceId,
     margin: HandoverMargin,
     openings: ShardSet<OpeningShard>,
+    pending: Mutex<PendingCount>,
 }
 
 impl HostGate {
@@ -140,6 +153,7 @@
             service,
             margin,
             openings: ShardSet::new(OPENING_SHARDS),
+            pending: Mutex::default(),
         }
     }
 
@@ -174,6 +188,26 @@
         }
     }
 
+    /// Returns the flows that the host took and whose handshake is under way.
+    pub fn pending(&self, now: MonotonicTime) -> u32 {
+        lock(&self.pending).count(now)
+    }
+
+    /// Notes that a handshake has ended, well or not. `connection` is the
+    /// connection ID that the caller chose for its first packets.
+    pub fn end_handshake(&self, connection: &[u8]) {
+        let key = OpeningKey::new(connection);
+        let mut shard = self.openings.lock(&key.bytes);
+        let Ok(index) = shard.find(&key) else {
+            return;
+        };
+        let record = &mut shard.records[index];
+        if record.is_pending {
+            record.is_pending = false;
+            lock(&self.pending).leave(record.decided);
+        }
+    }
+
     /// Returns what the remembered decisions take.
     pub fn footprint(&self) -> TableFootprint {
         let mut footprint = TableFootprint::default();
@@ -194,10 +228,7 @@
         let key = OpeningKey::new(connection);
         let mut shard = self.openings.lock(&key.bytes);
         shard.prune(now);
-        let found = shard
-            .records
-            .binary_search_by_key(&key, |record| record.key);
-        let index = match found {
+        let index = match shard.find(&key) {
             Ok(index) => index,
             Err(index) => {
                 let passed_to = match decide_opening(header, load, self.margin) {
@@ -205,10 +236,15 @@
                     OpeningVerdict::HandOver(host) => Some(host),
                     OpeningVerdict::Refuse => return HostAction::Drop(DropReason::Full),
                 };
+                let is_pending = passed_to.is_none();
+                if is_pending {
+                    lock(&self.pending).enter(now);
+                }
                 let record = OpeningRecord {
                     key,
                     passed_to,
                     decided: now,
+                    is_pending,
                 };
                 shard.records.insert(index, record);
                 index
@@ -219,6 +255,10 @@
 }
 
 impl OpeningShard {
+    fn find(&self, key: &OpeningKey) -> Result<usize, usize> {
+        self.records.binary_search_by_key(key, |record| record.key)
+    }
+
     fn prune(&mut self, now: MonotonicTime) {
         if now.since(self.pruned) < OPENING_MEMORY / 8 {
             return;
@@ -265,7 +305,7 @@
     };
     let allowed = u64::from(report.flows) * u64::from(100 + margin.percent) / 100;
     let allowed = allowed + u64::from(margin.flows);
-    let own = u64::from(load.flows) * u64::from(second.weight);
+    let own = u64::from(load.expected_flows()) * u64::from(second.weight);
     own > allowed * u64::from(second.first_weight)
 }
 
--- a/crates/routing/tests/gate.rs
+++ b/crates/routing/tests/gate.rs
@@ -29,6 +29,7 @@
 fn load(flows: u32) -> HostLoad {
     HostLoad {
         flows,
+        pending: 0,
         limit: 100,
         draining: false,
     }
@@ -235,3 +236,78 @@
         show(&after)
     ));
 }
+
+/// A flow counts from its first packet to its end, whatever ends its handshake.
+#[test]
+fn handshakes_count_as_load() {
+    let gate = gate();
+    let mut lines = Vec::new();
+    let mut note = |name: &str, millis: u64| {
+        let now = MonotonicTime::from_millis(millis);
+        lines.push(format!(
+            "{name}, {millis} ms: {} pending",
+            gate.pending(now)
+        ));
+    };
+    let open = |connection: &[u8], header: &ForwardHeader, millis: u64| {
+        let packet = fixture::initial_packet(connection);
+        let now = MonotonicTime::from_millis(millis);
+        gate.receive(ME, header, &packet, &load(50), now);
+    };
+    let alone = fixture::header(LEERPLEIN);
+    note("none", 900);
+    open(b"caller-1", &alone, 1_000);
+    open(b"caller-2", &alone, 1_001);
+    open(b"caller-3", &alone, 2_000);
+    note("three opened", 2_000);
+    open(b"caller-1", &alone, 2_001);
+    note("one repeated", 2_001);
+    open(b"caller-4", &opening(report(0)), 2_002);
+    note("one handed over", 2_002);
+    gate.end_handshake(b"caller-1");
+    gate.end_handshake(b"caller-1");
+    gate.end_handshake(b"caller-4");
+    gate.end_handshake(b"caller-9");
+    note("one ended", 2_003);
+    note("before the lifetime", 4_900);
+    note("one too old", 5_000);
+    note("both too old", 6_000);
+    open(b"caller-5", &alone, 9_100);
+    gate.end_handshake(b"caller-3");
+    note("slot used again", 9_100);
+    expect![[r#"
+        none, 900 ms: 0 pending
+        three opened, 2000 ms: 3 pending
+        one repeated, 2001 ms: 3 pending
+        one handed over, 2002 ms: 3 pending
+        one ended, 2003 ms: 2 pending
+        before the lifetime, 4900 ms: 2 pending
+        one too old, 5000 ms: 1 pending
+        both too old, 6000 ms: 0 pending
+        slot used again, 9100 ms: 1 pending"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+/// Handshakes count for the comparison and not for the limit.
+#[test]
+fn comparison_counts_handshakes() {
+    let mut lines = Vec::new();
+    let mut case = |name: &str, header: &ForwardHeader, flows: u32, pending: u32| {
+        let packet = fixture::initial_packet(name.as_bytes());
+        let load = HostLoad {
+            pending,
+            ..load(flows)
+        };
+        let action = show(&gate().receive(ME, header, &packet, &load, NOW));
+        lines.push(format!("{name}: {action}, {:?}", load.report()));
+    };
+    case("within the margin", &opening(report(10)), 10, 4);
+    case("over the margin", &opening(report(10)), 10, 5);
+    case("below the limit", &fixture::header(LEERPLEIN), 99, 500);
+    case("at the limit", &fixture::header(LEERPLEIN), 100, 0);
+    expect![[r#"
+        within the margin: accept, LoadReport { flows: 14, takes_new: true }
+        over the margin: pass on to 10.1.0.2:7000/5, hops 1, LoadReport { flows: 15, takes_new: true }
+        below the limit: accept, LoadReport { flows: 599, takes_new: true }
+        at the limit: drop Full, LoadReport { flows: 100, takes_new: false }"#]].assert_eq(&lines.join("\n"));
+}
--- a/crates/routing/tests/reuse.rs
+++ b/crates/routing/tests/reuse.rs
@@ -210,6 +210,7 @@
             .find(|other| other.process.address == host.address)?;
         let load = HostLoad {
             flows: 0,
+            pending: 0,
             limit: 100,
             draining: false,
         };
