--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -267,6 +267,10 @@
             &self.secret,
             roster.members(),
         );
+        let view = match &self.service_name {
+            Some(name) => view.with_host(name, self.address),
+            None => view,
+        };
         self.view.store(Arc::new(view));
     }
 
--- a/crates/hyssopstaird/src/host/state.rs
+++ b/crates/hyssopstaird/src/host/state.rs
@@ -61,7 +61,6 @@
     pub gate: OnceLock<HostGate>,
     /// The ways back to callers.
     pub returns: ReturnTable,
-    name: String,
     flows: AtomicU32,
     draining: AtomicBool,
 }
@@ -85,7 +84,6 @@
             relay_number: AtomicU64::new(0),
             gate: OnceLock::new(),
             returns: ReturnTable::default(),
-            name: settings.service.clone(),
             flows: AtomicU32::new(0),
             draining: AtomicBool::new(false),
             node,
@@ -94,26 +92,23 @@
 
     /// Returns the rules of the service, when a configuration names it.
     pub fn service(&self) -> Option<ServiceRule> {
-        self.node.view().rules.service_named(&self.name).cloned()
+        let view = self.node.view();
+        let own = view.own?;
+        view.rules.service(own.service).cloned()
     }
 
     /// Returns the number of the service, when a configuration names it.
     pub fn service_id(&self) -> Option<ServiceId> {
-        let view = self.node.view();
-        view.rules
-            .service_named(&self.name)
-            .map(|service| service.id)
+        self.node.view().own.map(|own| own.service)
     }
 
     /// Returns the present load.
     pub fn load(&self) -> HostLoad {
-        let view = self.node.view();
-        let service = view.rules.service_named(&self.name);
-        let limit = service.map_or(0, |service| service.connections);
+        let own = self.node.view().own;
         HostLoad {
             flows: self.flows(),
             pending: self.pending(),
-            limit,
+            limit: own.map_or(0, |own| own.connections),
             draining: self.is_draining(),
         }
     }
@@ -149,10 +144,7 @@
 
     /// Returns whether the host takes nothing new.
     pub fn is_draining(&self) -> bool {
-        let rules = self.node.view().rules.clone();
-        let takes_new = rules
-            .service_named(&self.name)
-            .is_none_or(|service| rules.takes_new(service.id, self.node.me().address));
+        let takes_new = self.node.view().own.is_none_or(|own| own.takes_new);
         !takes_new || self.draining.load(Ordering::Relaxed)
     }
 
--- a/crates/routing/examples/routing_cost.rs
+++ b/crates/routing/examples/routing_cost.rs
@@ -1,6 +1,7 @@
 //! Measures what the decisions about packets cost, as lines of JSON.
 //!
-//! An argument runs one part alone: `route`, `gate`, `returns` or `view`. With
+//! An argument runs one part alone: `route`, `gate`, `returns`, `view` or
+//! `rules`. With
 //! `valgrind --tool=callgrind` the instruction counts can be repeated.
 
 use std::hint::black_box;
@@ -14,6 +15,7 @@
 use hyssopstair_routing::gate::HostLoad;
 use hyssopstair_routing::loads::LoadTable;
 use hyssopstair_routing::returns::ReturnTable;
+use hyssopstair_routing::view::HostRule;
 use hyssopstair_routing::view::RoutingView;
 use hyssopstair_rules::rule_set::RuleSet;
 use hyssopstair_wire::address::HostIncarnation;
@@ -216,6 +218,28 @@
     }
 }
 
+/// What a host must know of the rules for each packet: looked up by name, and
+/// read from the view.
+fn measure_rules() {
+    const PACKETS: u32 = 1_000_000;
+    for services in [2, 870, 8_700] {
+        let name = format!("s{}", services / 2);
+        let host = scattered(1);
+        let view = RoutingView::build(1, rules(services), &secret(), &[]).with_host(&name, host);
+        let find_nanos = time_each(PACKETS, |_| {
+            let name = black_box(name.as_str());
+            black_box(HostRule::find(black_box(&view.rules), name, host));
+        });
+        let read_nanos = time_each(PACKETS, |_| {
+            black_box(black_box(&view).own);
+        });
+        println!(
+            "{{\"part\":\"rules\",\"services\":{services},\"find_ns\":{find_nanos:.0},\
+             \"read_ns\":{read_nanos:.1}}}"
+        );
+    }
+}
+
 fn main() {
     let part = std::env::args().nth(1);
     let runs = |name: &str| part.as_deref().is_none_or(|part| part == name);
@@ -231,4 +255,7 @@
     if runs("view") {
         measure_view();
     }
+    if runs("rules") {
+        measure_rules();
+    }
 }
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -39,6 +39,29 @@
     service: ServiceId,
 }
 
+/// What the rules say about one host, looked up once for each view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostRule {
+    /// The service of the host.
+    pub service: ServiceId,
+    /// Most flows that the host takes.
+    pub connections: u32,
+    /// Whether the host may take new flows.
+    pub takes_new: bool,
+}
+
+impl HostRule {
+    /// Looks up a host by the name of its service.
+    pub fn find(rules: &RuleSet, service_name: &str, host: SocketAddrV4) -> Option<Self> {
+        let service = rules.service_named(service_name)?;
+        Some(Self {
+            service: service.id,
+            connections: service.connections,
+            takes_new: rules.takes_new(service.id, host),
+        })
+    }
+}
+
 /// Rules, keys and members at one moment.
 #[derive(Debug, Clone)]
 pub struct RoutingView {
@@ -48,6 +71,9 @@
     pub rules: Arc<RuleSet>,
     /// The route keys that are honoured.
     pub ring: KeyRing,
+    /// What the rules say about the process itself, when it is a host of a
+    /// service that they name.
+    pub own: Option<HostRule>,
     placement_secret: [u8; SECRET_LENGTH],
     reset_secret: [u8; SECRET_LENGTH],
     addresses: Vec<ServiceAddress>,
@@ -72,6 +98,7 @@
             version,
             rules,
             ring,
+            own: None,
             placement_secret,
             reset_secret: secret.derive(b"reset"),
             addresses,
@@ -80,6 +107,12 @@
         }
     }
 
+    /// Adds what the rules say about the host at `address`.
+    pub fn with_host(self, service_name: &str, address: SocketAddrV4) -> Self {
+        let own = HostRule::find(&self.rules, service_name, address);
+        Self { own, ..self }
+    }
+
     /// Returns the service that callers reach at an address.
     pub fn service_at(&self, address: SocketAddrV4) -> Option<ServiceId> {
         let index = self
