--- a/crates/routing/examples/routing_cost.rs
+++ b/crates/routing/examples/routing_cost.rs
@@ -1,6 +1,7 @@
 //! Measures what the decisions about packets cost, as lines of JSON.
 //!
-//! An argument runs one part alone: `route`, `gate`, `returns` or `view`. With
+//! An argument runs one part alone: `route`, `gate`, `returns`, `view`,
+//! `rules` or `pace`. With
 //! `valgrind --tool=callgrind` the instruction counts can be repeated.
 
 use std::hint::black_box;
@@ -13,7 +14,9 @@
 use hyssopstair_routing::gate::HostGate;
 use hyssopstair_routing::gate::HostLoad;
 use hyssopstair_routing::loads::LoadTable;
+use hyssopstair_routing::pace::BuildPacer;
 use hyssopstair_routing::returns::ReturnTable;
+use hyssopstair_routing::view::HostRule;
 use hyssopstair_routing::view::RoutingView;
 use hyssopstair_rules::rule_set::RuleSet;
 use hyssopstair_wire::address::HostIncarnation;
@@ -152,6 +155,7 @@
         let gate = HostGate::new(ServiceId(0));
         let load = HostLoad {
             flows: 0,
+            pending: 0,
             limit: u32::MAX,
             draining: false,
         };
@@ -198,16 +202,20 @@
     }
 }
 
-fn measure_view() {
+/// Nanoseconds that one build of a view takes.
+fn build_nanos(hosts: u32, services: u32) -> f64 {
     const REPEATS: u32 = 20;
+    let all = members(hosts, services);
+    let rules = rules(services);
+    time_each(REPEATS, |_| {
+        let view = RoutingView::build(1, rules.clone(), &secret(), black_box(&all));
+        black_box(view);
+    })
+}
+
+fn measure_view() {
     for (hosts, services) in [(20, 2), (5_000, 870), (50_000, 8_700)] {
-        let all = members(hosts, services);
-        let rules = rules(services);
-        let nanos = time_each(REPEATS, |_| {
-            let view = RoutingView::build(1, rules.clone(), &secret(), black_box(&all));
-            black_box(view);
-        });
-        let millis = nanos / 1e6;
+        let millis = build_nanos(hosts, services) / 1e6;
         println!(
             "{{\"part\":\"view\",\"hosts\":{hosts},\"services\":{services},\
              \"build_ms\":{millis:.3}}}"
@@ -215,6 +223,60 @@
     }
 }
 
+/// What a host must know of the rules for each packet: looked up by name, and
+/// read from the view.
+fn measure_rules() {
+    const PACKETS: u32 = 1_000_000;
+    for services in [2, 870, 8_700] {
+        let name = format!("s{}", services / 2);
+        let host = scattered(1);
+        let view = RoutingView::build(1, rules(services), &secret(), &[]).with_host(&name, host);
+        let find_nanos = time_each(PACKETS, |_| {
+            let name = black_box(name.as_str());
+            black_box(HostRule::find(black_box(&view.rules), name, host));
+        });
+        let read_nanos = time_each(PACKETS, |_| {
+            black_box(black_box(&view).own);
+        });
+        println!(
+            "{{\"part\":\"rules\",\"services\":{services},\"find_ns\":{find_nanos:.0},\
+             \"read_ns\":{read_nanos:.1}}}"
+        );
+    }
+}
+
+/// Builds of the view and their share of a core, at 50,000 hosts and 8,700
+/// services, with changes at even distances and a look at what is due each 50 ms.
+fn measure_pace() {
+    const TICK_MICROS: u64 = 50_000;
+    const DAY_MICROS: u64 = 86_400_000_000;
+    let build_micros = build_nanos(50_000, 8_700) / 1e3;
+    for (name, changes, micros) in [
+        ("a day", 33_500, DAY_MICROS),
+        ("a zone, spread by gossip", 14_000, 311_000_000),
+        ("a zone, at once", 14_000, 5_000_000),
+    ] {
+        let mut pacer = BuildPacer::default();
+        let mut builds = 0;
+        let mut next_tick = 0;
+        for change in 0..changes {
+            let time = change * micros / changes;
+            while next_tick <= time {
+                builds += u64::from(pacer.take_due(MonotonicTime(next_tick)));
+                next_tick += TICK_MICROS;
+            }
+            builds += u64::from(pacer.note_change(MonotonicTime(time)));
+        }
+        let share = |builds: u64| builds as f64 * build_micros / micros as f64 * 100.0;
+        println!(
+            "{{\"part\":\"pace\",\"case\":\"{name}\",\"changes\":{changes},\"builds\":{builds},\
+             \"percent_each_change\":{:.2},\"percent_merged\":{:.2}}}",
+            share(changes),
+            share(builds),
+        );
+    }
+}
+
 fn main() {
     let part = std::env::args().nth(1);
     let runs = |name: &str| part.as_deref().is_none_or(|part| part == name);
@@ -230,4 +292,10 @@
     if runs("view") {
         measure_view();
     }
+    if runs("pace") {
+        measure_pace();
+    }
+    if runs("rules") {
+        measure_rules();
+    }
 }
