Try a request when an old estimate refuses all work

Cause: an estimate is renewed only by requests that run. Ruled out: shedding and pauses (0 shed at these hosts), the working limit (the refusals were by deadline, before a slot was looked for). Change: an idle host with an estimate that nothing renewed for 1 s starts anew with the next idempotent request. Only idempotent requests start a trial.

--- a/crates/requests/src/admission.rs
+++ b/crates/requests/src/admission.rs
@@ -11,9 +11,7 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::estimate::ServiceEstimate;
-
-/// Working limit after a start, a shed answer or a long idle time.
-const INITIAL_LIMIT: f64 = 1.0;
+use crate::limit::WorkingLimit;
 
 /// First pause after a shed answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -24,6 +22,9 @@
 /// A host without a completed request for this long starts anew.
 const IDLE_TIME: Duration = Duration::from_secs(60);
 
+/// A host whose estimate has refused all work for this long tries a request.
+const TRIAL_TIME: Duration = Duration::from_secs(1);
+
 /// Completed requests of this age outweigh a report of the backend server.
 const REPORT_DOUBT: Duration = Duration::from_secs(5);
 
@@ -110,32 +111,11 @@
     limit: WorkingLimit,
     estimate: ServiceEstimate,
     last_completion: Option<MonotonicTime>,
+    last_sample: MonotonicTime,
     paused_until: MonotonicTime,
     pause: Duration,
 }
 
-/// A bound on the slots in use, learnt from completed requests.
-#[derive(Debug, Clone, Copy)]
-struct WorkingLimit(f64);
-
-impl Default for WorkingLimit {
-    fn default() -> Self {
-        Self(INITIAL_LIMIT)
-    }
-}
-
-impl WorkingLimit {
-    fn whole(self, rules: &AdmissionRules) -> u32 {
-        (self.0 as u32).clamp(1, rules.slots.max(1))
-    }
-
-    /// Grows by one slot for each limit's worth of completed requests.
-    fn grow(&mut self, rules: &AdmissionRules) {
-        let grown = self.0 + 1.0 / self.0;
-        self.0 = grown.min(f64::from(rules.slots.max(1)));
-    }
-}
-
 impl AdmissionState {
     /// Decides about a request that arrives. Requests that must make way are
     /// added to `changes`.
@@ -148,6 +128,10 @@
     ) -> SlotDecision {
         self.restart_when_idle(now);
         self.drop_late(rules, now, changes);
+        if self.needs_trial(&request, now) {
+            self.limit = WorkingLimit::default();
+            self.estimate = ServiceEstimate::default();
+        }
         if self.misses_deadline(&request, self.waiting.len(), rules, now) {
             return self.refusal(rules, now);
         }
@@ -190,12 +174,14 @@
         match end {
             SlotEnd::Completed(time) => {
                 self.estimate.record(time);
+                self.last_sample = now;
                 self.last_completion = Some(now);
                 self.pause = Duration::ZERO;
                 self.limit.grow(rules);
             }
             SlotEnd::TimedOut(time) => {
                 self.estimate.record(time);
+                self.last_sample = now;
                 self.limit = WorkingLimit::default();
             }
             SlotEnd::Shed | SlotEnd::Failed => self.back_off(now),
@@ -278,6 +264,19 @@
         }
     }
 
+    /// Returns whether an idle host refuses `request` only by an estimate that
+    /// nothing has renewed for some time. Without a trial, such an estimate
+    /// would refuse all work for ever. A request that must not be run twice is
+    /// not put at risk.
+    fn needs_trial(&self, request: &SlotRequest, now: MonotonicTime) -> bool {
+        let is_idle = self.running == 0 && self.waiting.is_empty() && now >= self.paused_until;
+        let is_old = now.since(self.last_sample) >= TRIAL_TIME;
+        let is_refused = now + self.estimate.cautious() >= request.deadline;
+        let is_alive = now < request.deadline;
+        let may_be_late = request.class == RequestClass::Idempotent;
+        is_idle && is_old && is_refused && is_alive && may_be_late
+    }
+
     fn back_off(&mut self, now: MonotonicTime) {
         self.limit = WorkingLimit::default();
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod estimate;
 pub mod ledger;
+mod limit;
 pub mod relay;
 pub mod ticket;
 pub mod verdict;
--- a/crates/requests/tests/admission.rs
+++ b/crates/requests/tests/admission.rs
@@ -96,6 +96,34 @@
     .assert_eq(&format!("{late}\n{waits}\n{changes:?}"));
 }
 
+#[test]
+fn estimate_beyond_all_deadlines_is_tried_again() {
+    let mut state = AdmissionState::default();
+    arrive(&mut state, request(1, RequestClass::Once, 100), 0);
+    state.release(
+        SlotEnd::TimedOut(Duration::from_millis(100)),
+        &RULES,
+        at(100),
+    );
+    let mut trace = String::new();
+    for (class, millis) in [
+        (RequestClass::Idempotent, 1_099),
+        (RequestClass::Once, 1_100),
+        (RequestClass::Idempotent, 1_100),
+        (RequestClass::Idempotent, 1_101),
+    ] {
+        let decision = arrive(&mut state, request(millis, class, millis + 100), millis);
+        trace.push_str(&format!("{millis} {class:?}: {decision}\n"));
+    }
+    expect![[r#"
+        1099 Idempotent: Refuse { retry_after: 10ms } []
+        1100 Once: Refuse { retry_after: 10ms } []
+        1100 Idempotent: Run []
+        1101 Idempotent: Wait []
+    "#]]
+    .assert_eq(&trace);
+}
+
 #[test]
 fn shed_answers_pause_the_host_and_one_probe_ends_the_pause() {
     let mut state = warm_host();
