Pause for 200 ms at most after shed answers

Cause: the pause after a row of shed answers doubled up to 2 s, so that after 1 s of shedding the host stood idle for about half a second more. Change: the longest pause is 200 ms.

--- a/crates/requests/src/admission.rs
+++ b/crates/requests/src/admission.rs
@@ -17,7 +17,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest pause after a row of shed answers.
-const MAX_PAUSE: Duration = Duration::from_secs(2);
+const MAX_PAUSE: Duration = Duration::from_millis(200);
 
 /// A host without a completed request for this long starts anew.
 const IDLE_TIME: Duration = Duration::from_secs(60);
