--- a/crates/requests/tests/curve/mod.rs
+++ b/crates/requests/tests/curve/mod.rs
@@ -245,7 +245,7 @@
         let start = Instant::now();
         let decision = admission.arrive(slot_request, &rules, self.now, &mut changes);
         let time = start.elapsed();
-        self.apply(host, &changes);
+        self.apply(host, &changes, time);
         match decision {
             SlotDecision::Run => self.start(request, host),
             SlotDecision::Wait => {}
@@ -284,10 +284,10 @@
         let time = self.now.since(self.requests[request].started);
         let slot_end = self.slot_end(end, time);
         let rules = self.setting.admission_rules();
-        let changes = self.hosts[host]
-            .admission
-            .release(slot_end, &rules, self.now);
-        self.apply(host, &changes);
+        let admission = &mut self.hosts[host].admission;
+        let decided = Instant::now();
+        let changes = admission.release(slot_end, &rules, self.now);
+        self.apply(host, &changes, decided.elapsed());
         self.schedule_advance(host);
         match end {
             WorkEnd::Answered => self.complete(request, host),
@@ -335,13 +335,15 @@
         }
     }
 
-    fn apply(&mut self, host: usize, changes: &[SlotChange]) {
+    /// Does what a decision, which took `time`, says of waiting requests.
+    fn apply(&mut self, host: usize, changes: &[SlotChange], time: Duration) {
         for change in changes {
             let request = change.key.0 as usize;
             match change.decision {
                 SlotDecision::Run => self.start(request, host),
                 SlotDecision::Wait => unreachable!("the end of a wait is a wait"),
                 SlotDecision::Refuse { retry_after } => {
+                    self.tally.refusal_times.push(time);
                     self.hosts[host].tally.dropped += 1;
                     self.try_elsewhere(request, retry_after);
                 }
@@ -351,8 +353,10 @@
 
     fn advance(&mut self, host: usize) {
         let rules = self.setting.admission_rules();
-        let changes = self.hosts[host].admission.advance(&rules, self.now);
-        self.apply(host, &changes);
+        let admission = &mut self.hosts[host].admission;
+        let decided = Instant::now();
+        let changes = admission.advance(&rules, self.now);
+        self.apply(host, &changes, decided.elapsed());
     }
 
     fn schedule_advance(&mut self, host: usize) {
