Split the state of the roster by concern

Ruled out: types of their own for each round, because each round needs the table, the budget and the random numbers; they stay methods of RosterState.

Change: join, gossip, probe and repair hold what is done from time to time, with their constants; contacts holds the addresses beside those of members. The public constants of the rounds are now in gossip and repair. No change of behaviour.

The tests of the roster pass.

--- a/crates/roster/src/exchange.rs
+++ b/crates/roster/src/exchange.rs
@@ -17,12 +17,12 @@
 use crate::digest::differing;
 use crate::digest::leaf_entries;
 use crate::digest::leaf_hashes;
+use crate::join::SETTLE_TIME;
+use crate::probe::RelayRecord;
 use crate::runs::decode_run;
 use crate::runs::entry_after;
-use crate::state::RelayRecord;
 use crate::state::RosterAction;
 use crate::state::RosterState;
-use crate::state::SETTLE_TIME;
 
 /// Buckets that one digest repairs at most.
 const MAX_BUCKETS: usize = 8;
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -1,40 +1,33 @@
-//! The members that a process knows, and what it does to keep them right.
+//! The members that a process knows, and when it does what keeps them right.
 
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use hyssopstair_wire::address::HostIncarnation;
-use hyssopstair_wire::address::ProcessId;
 use hyssopstair_wire::control::ControlBody;
 use hyssopstair_wire::control::ControlMessage;
-use hyssopstair_wire::control::MAX_ENTRIES;
 use hyssopstair_wire::control::MemberEntry;
 use hyssopstair_wire::control::MemberRole;
 use hyssopstair_wire::control::MemberState;
 use hyssopstair_wire::packet::PacketKind;
 use hyssopstair_wire::packet::encode_packet;
 use hyssopstair_wire::time::MonotonicTime;
-use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 use crate::budget::SendBudget;
 use crate::budget::SendClass;
-use crate::digest::bucket_hashes;
+use crate::contacts::ContactList;
+use crate::gossip::GOSSIP_FANOUT;
+use crate::gossip::GOSSIP_INTERVAL;
+use crate::join::JoinProgress;
 use crate::members::MemberTable;
-use crate::members::TOMBSTONE_TIME;
 use crate::presence::PAUSE_LIMIT;
 use crate::presence::PresenceState;
+use crate::probe::RelayRecord;
 use crate::queue::ChangeQueue;
-use crate::runs::MAX_RUN;
-use crate::runs::MIN_RUN;
-use crate::runs::encode_run;
+use crate::repair::CONTACT_INTERVAL;
 use crate::watch::PROBE_INTERVAL;
-use crate::watch::SUSPICION_TIME;
-use crate::watch::SilentMember;
-use crate::watch::WATCHERS;
 use crate::watch::WatchList;
-use crate::watch::watched_members;
 
 /// What the process that holds a roster is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,58 +41,6 @@
     },
 }
 
-/// Time between two rounds of changes.
-pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Members that a round of changes is sent to.
-pub const GOSSIP_FANOUT: usize = 3;
-
-/// Time between two digests while rosters agree.
-pub const DIGEST_INTERVAL: Duration = Duration::from_secs(10);
-
-/// Time between two digests after one that differed, and after joining.
-const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
-
-/// How long a process compares rosters more often after it has joined, because
-/// the members that it asked may have just joined too.
-pub(crate) const SETTLE_TIME: Duration = Duration::from_secs(30);
-
-/// Time between two pings of a member that is gone, or of a contact.
-pub const CONTACT_INTERVAL: Duration = Duration::from_secs(3);
-
-/// How long a process that joins waits for a page.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Time between two attempts to join of a process that knows nobody.
-const ALONE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Other members that are asked to ping a silent one, times the rounds in which
-/// it was silent: rare losses cost little, and many losses kill nobody.
-const RELAYS: usize = 2;
-
-/// How long an answer is passed on to the member that asked for it.
-const RELAY_TIME: Duration = Duration::from_secs(2);
-
-/// Addresses that are kept beside those of members.
-const MAX_CONTACTS: usize = 64;
-
-/// A ping on behalf of another member.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RelayRecord {
-    pub(crate) number: u32,
-    pub(crate) asker: SocketAddrV4,
-    pub(crate) sent: MonotonicTime,
-}
-
-/// How far a process is in taking over the roster of others.
-#[derive(Debug, Default)]
-pub(crate) struct JoinProgress {
-    pub(crate) done: bool,
-    pub(crate) settled: MonotonicTime,
-    pub(crate) after: Option<SocketAddrV4>,
-    pub(crate) asked: Option<MonotonicTime>,
-}
-
 /// When each kind of round is due.
 #[derive(Debug, Default)]
 pub(crate) struct RoundTimes {
@@ -123,11 +64,11 @@
     pub(crate) heard: MonotonicTime,
     pub(crate) random: StdRng,
     budget: SendBudget,
-    contacts: Vec<SocketAddrV4>,
+    pub(crate) contacts: ContactList,
     /// The absent member that was tried last.
-    last_absent: SocketAddrV4,
-    watched_changes: u64,
-    next_number: u32,
+    pub(crate) last_absent: SocketAddrV4,
+    pub(crate) watched_changes: u64,
+    pub(crate) next_number: u32,
     version: u64,
 }
 
@@ -148,7 +89,7 @@
             heard: MonotonicTime::default(),
             random: StdRng::seed_from_u64(seed),
             budget: SendBudget::default(),
-            contacts: Vec::new(),
+            contacts: ContactList::default(),
             last_absent: me.process.address,
             watched_changes: 0,
             next_number: 0,
@@ -196,14 +137,9 @@
 
     /// Adds an address where a member may be found.
     pub fn add_contact(&mut self, address: SocketAddrV4) {
-        if address == self.me.process.address || self.contacts.contains(&address) {
-            return;
-        }
-        if self.contacts.len() == MAX_CONTACTS {
-            let index = self.random.random_range(0..MAX_CONTACTS);
-            self.contacts.swap_remove(index);
+        if address != self.me.process.address {
+            self.contacts.add(address, &mut self.random);
         }
-        self.contacts.push(address);
     }
 
     /// Takes entries without passing them on.
@@ -274,12 +210,7 @@
             self.probe_round(&mut actions, now);
         }
         if now >= self.rounds.digest {
-            let interval = if now < self.join.settled {
-                REPAIR_INTERVAL
-            } else {
-                DIGEST_INTERVAL
-            };
-            self.rounds.digest = now + self.jittered(interval);
+            self.schedule_digest(now);
             self.digest_round(&mut actions, now);
         }
         if now >= self.rounds.contact {
@@ -330,263 +261,12 @@
         self.budget.has_room(class, now)
     }
 
+    pub(crate) fn random_contact(&mut self) -> Option<SocketAddrV4> {
+        self.contacts.choose(&mut self.random)
+    }
+
     pub(crate) fn random_live(&mut self) -> Option<SocketAddrV4> {
         let me = self.me.process.address;
         self.table.random_live(me, &mut self.random)
     }
-
-    /// Sends a ping and returns its number.
-    pub(crate) fn ping(
-        &mut self,
-        actions: &mut Vec<RosterAction>,
-        to: SocketAddrV4,
-        now: MonotonicTime,
-    ) -> u32 {
-        let number = self.next_number;
-        self.next_number = self.next_number.wrapping_add(1);
-        let mut changes = Vec::new();
-        if !self.presence.is_starting() {
-            changes.push(self.me);
-        }
-        let known = self.table.find(to).copied();
-        changes.extend(known.filter(|entry| !entry.state.is_present()));
-        let body = ControlBody::Ping { number, changes };
-        self.send(actions, SendClass::Probe, to, body, now);
-        number
-    }
-
-    /// Asks for the first or next page of the roster of another member.
-    pub(crate) fn ask_page(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        let Some(to) = self.random_live().or_else(|| self.random_contact()) else {
-            return;
-        };
-        self.join.asked = Some(now);
-        let after = self.join.after;
-        self.send(
-            actions,
-            SendClass::Probe,
-            to,
-            ControlBody::Join { after },
-            now,
-        );
-    }
-
-    /// Compares rosters again soon.
-    pub(crate) fn hasten_digest(&mut self, now: MonotonicTime) {
-        let soon = now + self.jittered(REPAIR_INTERVAL);
-        self.rounds.digest = self.rounds.digest.min(soon);
-    }
-
-    /// Puts the process in doubt after a pause.
-    fn wake(&mut self, now: MonotonicTime) {
-        self.watch.forgive();
-        if now.since(self.heard) >= TOMBSTONE_TIME / 2 {
-            self.start_over();
-        }
-        self.presence.wake(self.next_number);
-    }
-
-    /// Drops a roster so old that others may have forgotten who is gone.
-    fn start_over(&mut self) {
-        for _ in 0..MAX_CONTACTS {
-            if let Some(address) = self.random_live() {
-                self.add_contact(address);
-            }
-        }
-        self.table.clear_others(self.me.process.address);
-        self.join = JoinProgress::default();
-    }
-
-    fn join_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        let alone = self.table.live() <= 1;
-        if self.presence.is_starting() {
-            self.presence.wait(!self.contacts.is_empty() || !alone, now);
-            self.join.done |= !self.presence.is_starting();
-        }
-        let wait = if self.join.done {
-            ALONE_INTERVAL
-        } else {
-            PAGE_TIMEOUT
-        };
-        let due = self.join.asked.is_none_or(|asked| now.since(asked) >= wait);
-        if due && (alone || !self.join.done) {
-            self.ask_page(actions, now);
-        }
-    }
-
-    fn wake_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        if !self.presence.is_waking() {
-            return;
-        }
-        for _ in 0..GOSSIP_FANOUT {
-            match self.random_live().or_else(|| self.random_contact()) {
-                Some(to) => {
-                    self.ping(actions, to, now);
-                }
-                None => self.presence.stay_alone(),
-            }
-        }
-    }
-
-    fn gossip_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        if self.presence.is_starting() {
-            return;
-        }
-        for _ in 0..GOSSIP_FANOUT {
-            if self.queue.is_empty() || !self.has_room(SendClass::Change, now) {
-                return;
-            }
-            let Some(to) = self.random_live() else {
-                return;
-            };
-            let body = self.next_run().unwrap_or_else(|| self.next_changes());
-            self.send(actions, SendClass::Change, to, body, now);
-        }
-    }
-
-    fn next_changes(&mut self) -> ControlBody {
-        let addresses = self.queue.take(MAX_ENTRIES);
-        let entries = addresses
-            .iter()
-            .filter_map(|address| self.table.find(*address).copied())
-            .collect();
-        ControlBody::Changes(entries)
-    }
-
-    /// Returns a run of changes, if many wait and enough of them follow each
-    /// other. It starts anywhere, so that members pass on different runs.
-    fn next_run(&mut self) -> Option<ControlBody> {
-        if !self.queue.is_long() {
-            return None;
-        }
-        let addresses = self.queue.addresses();
-        let start = self.random.random_range(0..addresses.len());
-        let entries: Vec<MemberEntry> = addresses[start..]
-            .iter()
-            .take(MAX_RUN)
-            .filter_map(|address| self.table.find(*address).copied())
-            .collect();
-        let members = encode_run(&entries);
-        if members.len() < MIN_RUN {
-            return None;
-        }
-        self.queue
-            .count_sent(&addresses[start..start + members.len()]);
-        let first = entries[0];
-        Some(ControlBody::Run {
-            state: first.state,
-            first: first.process.address,
-            members,
-        })
-    }
-
-    fn probe_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        self.relays
-            .retain(|relay| now.since(relay.sent) < RELAY_TIME);
-        if !self.presence.is_confirmed(now) {
-            return;
-        }
-        let round = self.watch.end_round(now);
-        if !self.is_cut_off(now) {
-            for target in &round.failed {
-                self.suspect(*target, now);
-            }
-        }
-        self.refresh_watch();
-        for silent in &round.silent {
-            self.ask_relays(actions, silent, now);
-        }
-        for index in 0..self.watch.probes().len() {
-            let to = self.watch.probes()[index].target.address;
-            let number = self.ping(actions, to, now);
-            self.watch.probes_mut()[index].send(number, now);
-        }
-    }
-
-    /// Returns whether the fault is likely on this side: nobody at all was
-    /// heard, though there are more members than this process watches.
-    fn is_cut_off(&self, now: MonotonicTime) -> bool {
-        now.since(self.heard) >= SUSPICION_TIME && self.table.live() > WATCHERS + 1
-    }
-
-    fn suspect(&mut self, target: ProcessId, now: MonotonicTime) {
-        let Some(known) = self.table.find(target.address) else {
-            return;
-        };
-        if known.process != target {
-            return;
-        }
-        let entry = MemberEntry {
-            state: MemberState::Suspect,
-            ..*known
-        };
-        if self.table.merge(&entry, now) {
-            self.queue.push(target.address, self.table.live());
-        }
-    }
-
-    fn refresh_watch(&mut self) {
-        if self.watched_changes == self.table.changes() {
-            return;
-        }
-        self.watched_changes = self.table.changes();
-        let targets = watched_members(self.table.entries(), self.me.process.address);
-        self.watch.set_targets(&targets);
-    }
-
-    fn ask_relays(
-        &mut self,
-        actions: &mut Vec<RosterAction>,
-        silent: &SilentMember,
-        now: MonotonicTime,
-    ) {
-        let target = silent.target;
-        for _ in 0..RELAYS * silent.misses {
-            let Some(to) = self.random_live().filter(|to| *to != target.address) else {
-                continue;
-            };
-            let body = ControlBody::PingFor { target };
-            self.send(actions, SendClass::Probe, to, body, now);
-        }
-    }
-
-    fn digest_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        if !self.join.done || !self.has_room(SendClass::Repair, now) {
-            return;
-        }
-        let Some(to) = self.random_live() else {
-            return;
-        };
-        let salt = self.random.random();
-        let buckets = bucket_hashes(self.table.entries(), salt);
-        let body = ControlBody::Digest { salt, buckets };
-        self.send(actions, SendClass::Repair, to, body, now);
-    }
-
-    /// Pings an address where nobody is known to be, so that two parts of the
-    /// fleet that lost each other meet again.
-    fn contact_round(&mut self, actions: &mut Vec<RosterAction>, now: MonotonicTime) {
-        let absent = self.table.absent_after(self.last_absent);
-        self.last_absent = absent.unwrap_or(self.last_absent);
-        let address = absent.or_else(|| self.random_contact());
-        let Some(to) = address.filter(|to| *to != self.me.process.address) else {
-            return;
-        };
-        let known = self.table.find(to);
-        if known.is_none_or(|entry| !entry.state.is_present()) {
-            self.ping(actions, to, now);
-        }
-    }
-
-    fn random_contact(&mut self) -> Option<SocketAddrV4> {
-        if self.contacts.is_empty() {
-            return None;
-        }
-        let index = self.random.random_range(0..self.contacts.len());
-        Some(self.contacts[index])
-    }
-
-    fn jittered(&mut self, interval: Duration) -> Duration {
-        interval.mul_f64(self.random.random_range(0.75..1.25))
-    }
 }
