Send peers the line edits of a change instead of the whole text

Ruled out: packing alone (284 KB a change, 9.5 KB/s); finding the edits anew for each question (41 ms of the sender each time).

Change: a process keeps the encoded line edits of its 64 latest versions, 64 KB at most, with a checksum of each resulting version and text. It answers Configuration { above } by the steps from there, else by the packed whole text. The receiver makes the steps to its own text, checks each version and checksum, and asks WholeConfiguration on a mismatch. The rule that versions never go back and that a text must be readable stays where it was, in ConfigState. Received steps are kept and passed on; a text without steps is compared for 250 ms at most. A text of one empty line is now made right by apply_edits (found by the proptest).

Not measured: how many processes read a change from the platform (whole packed value) before a peer names it.

--- a/crates/hyssopstaird/src/control/configuration.rs
+++ b/crates/hyssopstaird/src/control/configuration.rs
@@ -20,6 +20,9 @@
 use hyssopstair_platform::record::ConfigurationRecord;
 use hyssopstair_platform::record::VERSION_KEY;
 use hyssopstair_platform::schedule::poll_interval;
+use hyssopstair_platform::update::UpdateContent;
+use hyssopstair_platform::update::VersionText;
+use hyssopstair_platform::update::read_answer;
 use hyssopstair_telemetry::limiter::RepeatLimiter;
 use hyssopstair_wire::control::MemberRole;
 use hyssopstair_wire::control::MemberState;
@@ -84,7 +87,7 @@
     };
     match ConfigurationRecord::decode(&stored.value) {
         Ok(record) => {
-            node.offer_config(record.version, &record.text);
+            node.offer_config(record.version, &record.text, Vec::new());
         }
         Err(error) => log::warn!(error:% = error; "config: the platform holds no record"),
     }
@@ -121,13 +124,41 @@
 
 async fn ask_peer(node: &ControlNode, peer: SocketAddrV4) -> bool {
     let above = node.view().version;
-    let request = PeerRequest::Configuration { above };
+    let content = ask_content(node, peer, PeerRequest::Configuration { above }).await;
+    let content = match content {
+        UpdateContent::Mismatch => {
+            log::warn!(above; "config: the edits of {peer} do not fit; asking for the whole text");
+            ask_content(node, peer, PeerRequest::WholeConfiguration { above }).await
+        }
+        UpdateContent::Nothing | UpdateContent::Newer { .. } => content,
+    };
+    match content {
+        UpdateContent::Newer {
+            version,
+            text,
+            steps,
+        } => node.offer_config(version, &text, steps),
+        UpdateContent::Nothing | UpdateContent::Mismatch => false,
+    }
+}
+
+async fn ask_content(
+    node: &ControlNode,
+    peer: SocketAddrV4,
+    request: PeerRequest,
+) -> UpdateContent {
     match peer::ask(peer, request).await {
-        Ok(PeerAnswer::Configuration { version, text }) => node.offer_config(version, &text),
-        Ok(_) => false,
+        Ok(answer) => {
+            let config = node.config();
+            let old = VersionText {
+                version: config.version(),
+                text: config.text(),
+            };
+            read_answer(old, answer)
+        }
         Err(error) => {
             log::debug!(error:% = error; "config: a peer does not answer");
-            false
+            UpdateContent::Nothing
         }
     }
 }
--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -7,11 +7,16 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use error_stack::Report;
 use error_stack::ResultExt;
 use hyssopstair_platform::fetch::FetchState;
+use hyssopstair_platform::update::UpdateLog;
+use hyssopstair_platform::update::VersionText;
+use hyssopstair_platform::update::step_between;
 use hyssopstair_roster::state::RosterAction;
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_roster::versions::ConfigState;
@@ -29,6 +34,7 @@
 use hyssopstair_wire::control::MemberState;
 use hyssopstair_wire::packet::PacketKind;
 use hyssopstair_wire::packet::encode_packet;
+use hyssopstair_wire::peer::ConfigurationStep;
 use hyssopstair_wire::token::FleetSecret;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -41,6 +47,9 @@
 /// Rounds in which a last word is sent to other members.
 const FAREWELL_ROUNDS: usize = 3;
 
+/// Longest search for short edits between two versions.
+const DIFF_LIMIT: Duration = Duration::from_millis(250);
+
 /// What a host announces before its configuration names its service.
 const UNKNOWN_SERVICE: ServiceId = ServiceId(0);
 
@@ -59,6 +68,8 @@
     pub fetch: Mutex<FetchState>,
     /// Woken when a newer version is heard.
     pub version_heard: Notify,
+    /// What peers that lag are sent.
+    pub updates: Mutex<UpdateLog>,
     zone_name: String,
     address: SocketAddrV4,
     incarnation: AtomicU32,
@@ -107,6 +118,7 @@
             service_name,
             fetch: Mutex::default(),
             version_heard: Notify::new(),
+            updates: Mutex::default(),
             zone_name: settings.zone.clone(),
             address: me.address,
             incarnation: AtomicU32::new(me.incarnation.0),
@@ -166,14 +178,17 @@
         lock(&self.roster).add_contact(address);
     }
 
-    /// Takes a configuration if it is newer, and returns whether it did.
-    pub fn offer_config(&self, version: u64, text: &str) -> bool {
-        let result = lock(&self.config).offer(version, text);
+    /// Takes a configuration if it is newer, and returns whether it did. The
+    /// steps that led to it are kept for peers; without any, they are found by
+    /// comparing the texts.
+    pub fn offer_config(&self, version: u64, text: &str, steps: Vec<ConfigurationStep>) -> bool {
+        let (before, result) = self.change_config(version, text);
         match result {
             OfferResult::Taken => {
-                log::info!(version; "config: a new version is in force");
+                log::info!(version, steps = steps.len(); "config: a new version is in force");
                 self.announce_role();
                 self.rebuild_view();
+                self.keep_steps(&before, VersionText { version, text }, steps);
                 true
             }
             OfferResult::Refused => {
@@ -207,6 +222,39 @@
         }
     }
 
+    fn change_config(&self, version: u64, text: &str) -> (ConfigState, OfferResult) {
+        let mut config = lock(&self.config);
+        let before = config.clone();
+        let result = config.offer(version, text);
+        (before, result)
+    }
+
+    fn keep_steps(
+        &self,
+        before: &ConfigState,
+        new: VersionText<'_>,
+        steps: Vec<ConfigurationStep>,
+    ) {
+        // The first configuration shares no line with the empty one.
+        if before.version() == 0 {
+            return;
+        }
+        let steps = if steps.is_empty() {
+            let old = VersionText {
+                version: before.version(),
+                text: before.text(),
+            };
+            let deadline = Instant::now() + DIFF_LIMIT;
+            Vec::from_iter(step_between(old, new, Some(deadline)))
+        } else {
+            steps
+        };
+        let mut updates = lock(&self.updates);
+        for step in steps {
+            updates.add(step);
+        }
+    }
+
     fn announce_role(&self) {
         let Some(name) = &self.service_name else {
             return;
--- a/crates/hyssopstaird/src/peer/server.rs
+++ b/crates/hyssopstaird/src/peer/server.rs
@@ -6,6 +6,8 @@
 
 use error_stack::Report;
 use error_stack::ResultExt;
+use hyssopstair_platform::record::deflate_text;
+use hyssopstair_roster::versions::ConfigState;
 use hyssopstair_wire::peer::PeerAnswer;
 use hyssopstair_wire::peer::PeerRequest;
 use hyssopstair_wire::peer::decode_request;
@@ -19,6 +21,7 @@
 use tokio::runtime::Handle;
 
 use crate::control::node::ControlNode;
+use crate::control::node::lock;
 use crate::error::DaemonError;
 use crate::host::relay;
 use crate::host::settle;
@@ -51,6 +54,7 @@
     async fn answer(&self, request: PeerRequest) -> PeerAnswer {
         match (request, self.host.get()) {
             (PeerRequest::Configuration { above }, _) => self.configuration(above),
+            (PeerRequest::WholeConfiguration { above }, _) => self.whole_configuration(above),
             (PeerRequest::Version, _) => PeerAnswer::Version(self.node.view().version),
             (PeerRequest::Settle(request), Some(host)) => {
                 PeerAnswer::Settled(settle::answer(host, &request))
@@ -63,14 +67,45 @@
     }
 
     fn configuration(&self, above: u64) -> PeerAnswer {
+        let version = self.node.config().version();
+        if version <= above {
+            return PeerAnswer::UpToDate;
+        }
+        // The lock must be free again before the whole text is packed.
+        let steps = lock(&self.node.updates).steps(above, version);
+        match steps {
+            Some(steps) => PeerAnswer::ConfigurationSteps(steps),
+            None => self.whole_configuration(above),
+        }
+    }
+
+    fn whole_configuration(&self, above: u64) -> PeerAnswer {
         let config = self.node.config();
-        if config.version() <= above {
+        let version = config.version();
+        if version <= above {
             return PeerAnswer::UpToDate;
         }
-        PeerAnswer::Configuration {
-            version: config.version(),
-            text: config.text().to_string(),
+        match self.packed_text(&config) {
+            Ok(packed) => PeerAnswer::Configuration {
+                version,
+                deflated_text: packed.to_vec(),
+            },
+            Err(error) => {
+                log::warn!(error:% = error; "config: the text cannot be packed");
+                PeerAnswer::Refused
+            }
+        }
+    }
+
+    fn packed_text(&self, config: &ConfigState) -> std::io::Result<Arc<[u8]>> {
+        let version = config.version();
+        if let Some(packed) = lock(&self.node.updates).packed(version) {
+            return Ok(packed);
         }
+        // The lock is not held meanwhile; at worst two questions do it twice.
+        let packed: Arc<[u8]> = deflate_text(config.text())?.into();
+        lock(&self.node.updates).keep_packed(version, Arc::clone(&packed));
+        Ok(packed)
     }
 }
 
--- /dev/null
+++ b/crates/platform/examples/update_cost.rs
@@ -0,0 +1,149 @@
+//! Prints what a change costs a process that is sent line edits: bytes of the
+//! answer against the whole text, and times to find, make and check the edits
+//! and to read the new rules. The load at the target's rate of changes follows.
+
+use std::fmt::Write;
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyssopstair_platform::record::deflate_text;
+use hyssopstair_platform::update::VersionText;
+use hyssopstair_platform::update::read_answer;
+use hyssopstair_platform::update::step_between;
+use hyssopstair_rules::rule_set::RuleSet;
+use hyssopstair_wire::peer::PeerAnswer;
+use hyssopstair_wire::peer::PeerRequest;
+use hyssopstair_wire::peer::encode_answer;
+use hyssopstair_wire::peer::encode_request;
+
+/// Sizes of the fleet, in services; the last is the target size.
+const SIZES: [u32; 3] = [100, 1_000, 8_700];
+
+/// Changes a day at the target size.
+const CHANGES_A_DAY: f64 = 2_900.0;
+
+/// Seconds of a day.
+const DAY_SECONDS: f64 = 86_400.0;
+
+/// Times that each step is repeated; the median is printed.
+const ROUNDS: usize = 5;
+
+/// The lines that an operator changes at once.
+#[derive(Debug, Clone, Copy)]
+enum ChangeSize {
+    /// A drain rule is added.
+    Drain,
+    /// The deadlines of 20 services, all over the file.
+    TwentyLines,
+}
+
+fn main() {
+    println!(
+        "services  change       whole bytes  edit bytes  find ms  make ms  read ms  B/s    % of a core"
+    );
+    for services in SIZES {
+        for change in [ChangeSize::Drain, ChangeSize::TwentyLines] {
+            print_cost(services, change);
+        }
+    }
+}
+
+fn print_cost(services: u32, change: ChangeSize) {
+    let old_text = rule_text(services);
+    let new_text = changed(&old_text, services, change);
+    let old = VersionText {
+        version: 1,
+        text: &old_text,
+    };
+    let new = VersionText {
+        version: 2,
+        text: &new_text,
+    };
+    let Some(step) = step_between(old, new, None) else {
+        println!("{services:>8}  no edits");
+        return;
+    };
+    let find = median(|| {
+        black_box(step_between(old, new, None));
+    });
+    let answer = PeerAnswer::ConfigurationSteps(vec![step]);
+    let make = median(|| {
+        black_box(read_answer(old, answer.clone()));
+    });
+    let read = median(|| {
+        black_box(RuleSet::parse(black_box(&new_text)).is_ok());
+    });
+    let question = encode_request(&PeerRequest::Configuration { above: 1 }).len();
+    let bytes = question + encode_answer(&answer).len();
+    let changes_a_second = CHANGES_A_DAY / DAY_SECONDS;
+    println!(
+        "{services:>8}  {:<11}  {:>11}  {bytes:>10}  {:>7.2}  {:>7.2}  {:>7.2}  {:>5.1}  {:.3}",
+        format!("{change:?}"),
+        deflate_text(&new_text).map_or(0, |packed| packed.len()),
+        millis(find),
+        millis(make),
+        millis(read),
+        bytes as f64 * changes_a_second,
+        (make + read).as_secs_f64() * changes_a_second * 100.0,
+    );
+}
+
+fn changed(text: &str, services: u32, change: ChangeSize) -> String {
+    match change {
+        ChangeSize::Drain => format!("{text}drain 10.9.9.9:7000  # A. Visser\n"),
+        ChangeSize::TwentyLines => {
+            let every = services as usize / 20;
+            let mut changed = String::with_capacity(text.len());
+            let mut deadlines = 0;
+            for line in text.lines() {
+                let is_deadline = line.starts_with("deadline");
+                deadlines += usize::from(is_deadline);
+                if is_deadline && deadlines % every == 0 {
+                    changed.push_str(&line.replace("course", "exam"));
+                } else {
+                    changed.push_str(line);
+                }
+                changed.push('\n');
+            }
+            changed
+        }
+    }
+}
+
+/// Writes a rule file with five lines for each service.
+fn rule_text(services: u32) -> String {
+    let mut text = String::from("zone utr-a id 1  # A. Visser: where we run\n");
+    for index in 0..services {
+        let name = format!("service-{index:05}");
+        let id = index + 1;
+        let host = format!("10.{}.{}.{}", index >> 16, (index >> 8) & 255, index & 255);
+        let rules = [
+            format!("service {name} id {id} address {host}:4433"),
+            format!("limit {name} slots 3 connections 2000 queue 6"),
+            format!("deadline {name} {}", 1_000 + index),
+            format!("idempotent {name} GET /"),
+            format!("stream {name} /feed/"),
+        ];
+        for rule in rules {
+            let _ = writeln!(text, "{rule}  # A. Visser, course platform {index}");
+        }
+    }
+    text
+}
+
+fn median(mut step: impl FnMut()) -> Duration {
+    let mut times: Vec<Duration> = (0..ROUNDS)
+        .map(|_| {
+            let start = Instant::now();
+            step();
+            start.elapsed()
+        })
+        .collect();
+    times.sort_unstable();
+    times[ROUNDS / 2]
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/platform/src/record.rs
+++ b/crates/platform/src/record.rs
@@ -98,14 +98,10 @@
     /// Returns an error when the bytes are no record.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
         let packed: PackedRecord = postcard::from_bytes(bytes)?;
-        let mut text = String::new();
-        DeflateDecoder::new(packed.deflated_text.as_slice())
-            .take(MAX_TEXT_BYTES)
-            .read_to_string(&mut text)?;
         Ok(Self {
             version: packed.version,
             changes: packed.changes,
-            text,
+            text: inflate_text(&packed.deflated_text)?,
         })
     }
 
@@ -115,12 +111,10 @@
     ///
     /// Returns an error when the text cannot be packed.
     pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
-        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
-        encoder.write_all(self.text.as_bytes())?;
         let packed = PackedRecord {
             version: self.version,
             changes: self.changes.clone(),
-            deflated_text: encoder.finish()?,
+            deflated_text: deflate_text(&self.text)?,
         };
         Ok(postcard::to_stdvec(&packed)?)
     }
@@ -158,3 +152,27 @@
         }
     }
 }
+
+/// Packs the text of a rule file.
+///
+/// # Errors
+///
+/// Returns an error when the text cannot be packed.
+pub fn deflate_text(text: &str) -> std::io::Result<Vec<u8>> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(text.as_bytes())?;
+    encoder.finish()
+}
+
+/// Unpacks the text of a rule file.
+///
+/// # Errors
+///
+/// Returns an error when the bytes are no packed text.
+pub fn inflate_text(bytes: &[u8]) -> std::io::Result<String> {
+    let mut text = String::new();
+    DeflateDecoder::new(bytes)
+        .take(MAX_TEXT_BYTES)
+        .read_to_string(&mut text)?;
+    Ok(text)
+}
--- a/crates/rules/src/edit.rs
+++ b/crates/rules/src/edit.rs
@@ -4,6 +4,8 @@
 //! edits clash only where both touch the same line of the text that they
 //! started from; lines that both add at one place are all kept.
 
+use std::time::Instant;
+
 use serde::Deserialize;
 use serde::Serialize;
 use similar::Algorithm;
@@ -35,10 +37,16 @@
 
 /// Returns the edits that make `new` of `old`.
 pub fn diff_lines(old: &str, new: &str) -> Vec<LineEdit> {
+    diff_lines_until(old, new, None)
+}
+
+/// Returns the edits that make `new` of `old`. They are right but may be longer
+/// than needed when the deadline passes before the shortest are found.
+pub fn diff_lines_until(old: &str, new: &str, deadline: Option<Instant>) -> Vec<LineEdit> {
     let old: Vec<&str> = old.lines().collect();
     let new: Vec<&str> = new.lines().collect();
     // Rules are mostly unique lines, which this algorithm finds first.
-    similar::capture_diff_slices(Algorithm::Patience, &old, &new)
+    similar::capture_diff_slices_deadline(Algorithm::Patience, &old, &new, deadline)
         .iter()
         .filter_map(|operation| line_edit(operation, &new))
         .collect()
@@ -157,7 +165,8 @@
 
 fn join_lines(lines: &[&str]) -> String {
     let mut text = lines.join("\n");
-    if !text.is_empty() {
+    // One empty line is a text too.
+    if !lines.is_empty() {
         text.push('\n');
     }
     text
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -109,10 +109,24 @@
     pub load_percent: u16,
 }
 
+/// What leads from one version of the configuration to a later one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationStep {
+    /// The version that the edits are made to.
+    pub from: u64,
+    /// The version that they make.
+    pub to: u64,
+    /// The checksum of the later version and its text.
+    pub checksum: u64,
+    /// The encoded line edits.
+    pub edits: Vec<u8>,
+}
+
 /// A question to another process of the system.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// Asks for the configuration if its version is higher than `above`.
+    /// Asks for the configuration if its version is higher than `above`. The
+    /// answer is the steps from there, or the whole text.
     Configuration {
         /// The version that the asking process has.
         above: u64,
@@ -123,17 +137,23 @@
     Relay(Box<RelayRequest>),
     /// Asks for the version of the configuration in force.
     Version,
+    /// Asks for the whole configuration if its version is higher than `above`;
+    /// sent when the edits did not fit.
+    WholeConfiguration {
+        /// The version that the asking process has.
+        above: u64,
+    },
 }
 
 /// The answer to a [`PeerRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerAnswer {
-    /// The configuration.
+    /// The whole configuration.
     Configuration {
         /// Its version.
         version: u64,
-        /// The text of the rule file.
-        text: String,
+        /// The text of the rule file, deflated.
+        deflated_text: Vec<u8>,
     },
     /// There is nothing newer.
     UpToDate,
@@ -145,6 +165,8 @@
     Refused,
     /// The version of the configuration in force.
     Version(u64),
+    /// What leads from the asked version to the one in force, in order.
+    ConfigurationSteps(Vec<ConfigurationStep>),
 }
 
 /// Writes a question.
