Send a flow back that was handed to a host which has just left

Cause: a_host_that_is_told_to_stop_waits_for_its_feeds failed once: a new flow did not open within 5 s. The first host, by a balancer's view that was up to 250 ms old, handed the flow over to the less loaded host that was leaving; that one refused it, and the first remembered its decision for the handshake, so that no repeated packet could open the flow. Ruled out: the balancers' choice (a leaving host that comes first passes on), lost packets (the caller repeats them).

Change: a host that is handed a flow is told by whom, and sends it back if it cannot keep it; the first host then keeps it, for later packets too. A flow that was handed over is not handed back for its load.

Before: flow_handed_to_a_leaving_host_returns (new) ends in a third pass and a dropped packet.

--- a/crates/hyssopstaird/src/host/ingress.rs
+++ b/crates/hyssopstaird/src/host/ingress.rs
@@ -11,6 +11,7 @@
 use hyssopstair_wire::packet::MAX_PACKET_LENGTH;
 use hyssopstair_wire::packet::PacketKind;
 use hyssopstair_wire::packet::ReturnHeader;
+use hyssopstair_wire::packet::SecondHost;
 use hyssopstair_wire::packet::encode_packet;
 use hyssopstair_wire::packet::split_kind;
 use hyssopstair_wire::packet::split_message;
@@ -64,7 +65,15 @@
             state.returns.hear(&header, now);
             state.queue.push(header.caller, datagram.to_vec());
         }
-        HostAction::PassOn { host, header } => {
+        HostAction::PassOn { host, mut header } => {
+            // The other host may have left a moment ago: it can send the flow
+            // back to this one.
+            header.second = Some(SecondHost {
+                process: state.node.me(),
+                weight: 1,
+                first_weight: 1,
+                load: Some(load.report()),
+            });
             COUNTS.packets_passed_on.increment();
             if let Ok(length) = write_packet(outgoing, PacketKind::Forward, &header, datagram) {
                 let packet = &outgoing[..length];
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -228,6 +228,12 @@
         let key = OpeningKey::new(connection);
         let mut shard = self.openings.lock(&key.bytes);
         shard.prune(now);
+        let found = shard.find(&key);
+        // A packet that may go no further stays, whatever was decided before:
+        // the host that the flow was handed over to has sent it back.
+        if header.hops >= MAX_HOPS && load.takes_new() && shard.gives_up(found, key, now) {
+            lock(&self.pending).enter(now);
+        }
         let index = match shard.find(&key) {
             Ok(index) => index,
             Err(index) => {
@@ -259,6 +265,29 @@
         self.records.binary_search_by_key(key, |record| record.key)
     }
 
+    /// Replaces the decision to hand a flow over by the one to take it, and
+    /// returns whether there was one.
+    fn gives_up(
+        &mut self,
+        found: Result<usize, usize>,
+        key: OpeningKey,
+        now: MonotonicTime,
+    ) -> bool {
+        let Ok(index) = found else {
+            return false;
+        };
+        if self.records[index].passed_to.is_none() {
+            return false;
+        }
+        self.records[index] = OpeningRecord {
+            key,
+            passed_to: None,
+            decided: now,
+            is_pending: true,
+        };
+        true
+    }
+
     fn prune(&mut self, now: MonotonicTime) {
         if now.since(self.pruned) < OPENING_MEMORY / 8 {
             return;
@@ -285,7 +314,8 @@
     let second = header.second.filter(may_take_new);
     match second {
         Some(second) if !load.takes_new() => OpeningVerdict::HandOver(second.process),
-        Some(second) if is_busier(load, &second, margin) => {
+        // A flow that was handed over once is sent back only if it cannot stay.
+        Some(second) if header.hops == 0 && is_busier(load, &second, margin) => {
             OpeningVerdict::HandOver(second.process)
         }
         _ if load.takes_new() => OpeningVerdict::Take,
--- a/crates/routing/tests/gate.rs
+++ b/crates/routing/tests/gate.rs
@@ -216,6 +216,49 @@
     .assert_eq(&lines.join("\n"));
 }
 
+/// A host that leaves may be handed a flow by one that has not heard of it: the
+/// flow returns and stays, for later packets too.
+#[test]
+fn flow_handed_to_a_leaving_host_returns() {
+    let first_host = HostGate::new(LEERPLEIN);
+    let leaving_host = gate();
+    let packet = fixture::initial_packet(b"caller-1");
+    let direct = opening(report(0));
+    let mut lines = Vec::new();
+    let action = first_host.receive(ME, &direct, &packet, &load(50), NOW);
+    lines.push(show(&action));
+    let HostAction::PassOn { mut header, .. } = action else {
+        panic!("a busier host hands over");
+    };
+    header.second = opening(report(50)).second;
+    header.second.as_mut().unwrap().process = fixture::process(1, 5);
+    let action = leaving_host.receive(ME, &header, &packet, &draining(), NOW);
+    lines.push(show(&action));
+    let HostAction::PassOn { header, .. } = action else {
+        panic!("a leaving host sends back");
+    };
+    lines.push(show(&first_host.receive(
+        ME,
+        &header,
+        &packet,
+        &load(50),
+        NOW,
+    )));
+    lines.push(show(&first_host.receive(
+        ME,
+        &direct,
+        &packet,
+        &load(50),
+        NOW,
+    )));
+    expect![[r#"
+        pass on to 10.1.0.2:7000/5, hops 1
+        pass on to 10.1.0.1:7000/5, hops 2
+        accept
+        accept"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
 /// A host whose clock was set back starts with a lower incarnation than the
 /// process before it, and takes a higher one when it hears of that.
 #[test]
