--- a/crates/hyssopstaird/tests/hosts.rs
+++ b/crates/hyssopstaird/tests/hosts.rs
@@ -13,10 +13,12 @@
 use support::FEW_SECONDS;
 use support::FeedWatcher;
 use support::ended;
-use support::feeds_by_host;
+use support::host_with_feeds;
 use support::misdelivered;
 use support::open_feeds;
+use support::wait_for_ends;
 use support::wait_for_lines;
+use support::wait_until_passed_by;
 
 async fn feeds_at(fleet: &TestFleet, host: &str) -> u64 {
     fleet.report(host).await.map_or(0, |report| report.feeds)
@@ -42,24 +44,10 @@
 async fn a_host_that_is_told_to_stop_waits_for_its_feeds() {
     let fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
     let feeds = open_feeds(&fleet, "leerplein", 12).await;
-    let (host, held) = feeds_by_host(&fleet, "leerplein")
-        .await
-        .into_iter()
-        .find(|(_, count)| *count > 0)
-        .expect("some host has a feed");
+    let (host, held) = host_with_feeds(&fleet, "leerplein").await;
     fleet.signal(&host, Signal::SIGTERM).unwrap();
     let start = Instant::now();
-    fleet
-        .wait_for("balancers turning to other hosts", async || {
-            for name in fleet.balancers() {
-                if fleet.live_hosts(&name).await != Some(fleet.hosts().len() - 1) {
-                    return false;
-                }
-            }
-            true
-        })
-        .await
-        .unwrap();
+    wait_until_passed_by(&fleet).await;
     assert!(start.elapsed() < FEW_SECONDS, "{:?}", start.elapsed());
     let later = open_feeds(&fleet, "leerplein", 12).await;
     wait_for_lines(&fleet, &feeds, 3).await;
@@ -74,11 +62,7 @@
 async fn an_address_used_again_by_another_service_gets_nothing() {
     let mut fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
     let feeds = open_feeds(&fleet, "leerplein", 12).await;
-    let (host, held) = feeds_by_host(&fleet, "leerplein")
-        .await
-        .into_iter()
-        .find(|(_, count)| *count > 0)
-        .expect("some host has a feed");
+    let (host, held) = host_with_feeds(&fleet, "leerplein").await;
     fleet.kill(&host).unwrap();
     let backend = format!("{host}-backend");
     fleet.kill(&backend).unwrap();
@@ -106,12 +90,7 @@
         )
         .unwrap();
     // The flows of the dead host end by a reset, not by silence.
-    fleet
-        .wait_for("the end of the dead host's feeds", async || {
-            ended(&feeds).len() as u64 == held
-        })
-        .await
-        .unwrap();
+    wait_for_ends(&fleet, &feeds, held).await;
     let pool = CallerPool::open(&fleet.certificate()).unwrap();
     let later = FeedWatcher::open(&pool, &fleet, "leerplein", "later").await;
     wait_for_lines(&fleet, std::slice::from_ref(&later), 3).await;
@@ -126,18 +105,9 @@
 async fn callers_of_a_killed_host_hear_of_it_within_seconds() {
     let mut fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
     let feeds = open_feeds(&fleet, "leerplein", 12).await;
-    let (host, held) = feeds_by_host(&fleet, "leerplein")
-        .await
-        .into_iter()
-        .find(|(_, count)| *count > 0)
-        .expect("some host has a feed");
+    let (host, held) = host_with_feeds(&fleet, "leerplein").await;
     fleet.kill(&host).unwrap();
-    fleet
-        .wait_for("the end of the dead host's feeds", async || {
-            ended(&feeds).len() as u64 == held
-        })
-        .await
-        .unwrap();
+    wait_for_ends(&fleet, &feeds, held).await;
     let mut reasons = ended(&feeds);
     reasons.dedup();
     expect!["Connection error: Remote error: Error undefined by h3: reset by peer"]
--- a/crates/hyssopstaird/tests/silence.rs
+++ b/crates/hyssopstaird/tests/silence.rs
@@ -12,6 +12,7 @@
 use support::feeds_by_host;
 use support::open_feeds;
 use support::wait_for_lines;
+use support::wait_until_passed_by;
 
 /// Feeds that are opened at once to reach every host.
 const MANY_FEEDS: usize = 12;
@@ -31,17 +32,7 @@
 async fn new_flows_pass_by_a_frozen_host() {
     let fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
     fleet.signal("leerplein-1", Signal::SIGSTOP).unwrap();
-    fleet
-        .wait_for("balancers passing by the frozen host", async || {
-            for name in fleet.balancers() {
-                if fleet.live_hosts(&name).await != Some(fleet.hosts().len() - 1) {
-                    return false;
-                }
-            }
-            true
-        })
-        .await
-        .unwrap();
+    wait_until_passed_by(&fleet).await;
     let feeds = open_feeds(&fleet, "leerplein", MANY_FEEDS).await;
     expect!["[]"].assert_eq(&format!("{:?}", ended(&feeds)));
     fleet.signal("leerplein-1", Signal::SIGCONT).unwrap();
--- a/crates/hyssopstaird/tests/support/mod.rs
+++ b/crates/hyssopstaird/tests/support/mod.rs
@@ -130,6 +130,41 @@
     counts
 }
 
+/// Returns a host that has a feed, and how many it has.
+pub async fn host_with_feeds(fleet: &TestFleet, service: &str) -> (String, u64) {
+    feeds_by_host(fleet, service)
+        .await
+        .into_iter()
+        .find(|(_, count)| *count > 0)
+        .expect("some host has a feed")
+}
+
+/// Waits until every balancer counts one host less as alive.
+pub async fn wait_until_passed_by(fleet: &TestFleet) {
+    let expected = Some(fleet.hosts().len() - 1);
+    fleet
+        .wait_for("balancers turning to other hosts", async || {
+            for name in fleet.balancers() {
+                if fleet.live_hosts(&name).await != expected {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+        .unwrap();
+}
+
+/// Waits until `count` feeds have ended.
+pub async fn wait_for_ends(fleet: &TestFleet, feeds: &[FeedWatcher], count: u64) {
+    fleet
+        .wait_for("the end of the dead host's feeds", async || {
+            ended(feeds).len() as u64 == count
+        })
+        .await
+        .unwrap();
+}
+
 /// Returns the requests that reached a wrong service, over all hosts.
 pub async fn misdelivered(fleet: &TestFleet) -> u64 {
     let mut count = 0;
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -5,16 +5,18 @@
 //! `SERVICE-1-backend`, and can be killed, frozen and started again by name.
 //! All are killed when the fleet is dropped. The programs must have been built.
 
+pub mod error;
+pub mod plan;
+pub mod process;
+
 use std::cell::Cell;
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
-use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,6 +26,14 @@
 use tempfile::TempDir;
 
 use crate::backend::BackendReport;
+use crate::fleet::process::fetch;
+use crate::fleet::process::program;
+use crate::fleet::process::spawn;
+use crate::fleet::process::take_network;
+
+pub use crate::fleet::error::FleetError;
+pub use crate::fleet::plan::FleetPlan;
+pub use crate::fleet::plan::ServicePlan;
 
 /// Time between two looks at a condition.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
@@ -38,76 +48,6 @@
 const BACKEND_PORT: u16 = 8_000;
 /// Port of services.
 const SERVICE_PORT: u16 = 4_433;
-/// Port that shows that a network is taken by a fleet.
-const GUARD_PORT: u16 = 9;
-
-/// One service of a fleet.
-#[derive(Debug, Clone)]
-pub struct ServicePlan {
-    /// The name.
-    pub name: &'static str,
-    /// How many hosts it has.
-    pub hosts: u8,
-    /// Requests that run at once on a host.
-    pub slots: u16,
-}
-
-/// What a fleet is made of.
-#[derive(Debug, Clone)]
-pub struct FleetPlan {
-    /// How many balancers run.
-    pub balancers: u8,
-    /// The services.
-    pub services: Vec<ServicePlan>,
-    /// Time that a request takes at a backend server, in milliseconds.
-    pub work_millis: u64,
-    /// More arguments of the fabric, such as `--loss 0.01`.
-    pub fabric: Vec<String>,
-    /// More lines of the settings of each daemon.
-    pub settings: String,
-}
-
-impl FleetPlan {
-    /// Returns a plan of two services with few hosts.
-    pub fn small() -> Self {
-        let service = |name, hosts| ServicePlan {
-            name,
-            hosts,
-            slots: 3,
-        };
-        Self {
-            balancers: 3,
-            services: vec![service("leerplein", 3), service("diplomakluis", 2)],
-            work_millis: 20,
-            fabric: Vec::new(),
-            settings: String::new(),
-        }
-    }
-}
-
-/// Why a fleet does not do what a test asks.
-#[derive(Debug, thiserror::Error)]
-pub enum FleetError {
-    /// A file or process could not be used.
-    #[error("failed to run the fleet: {0}")]
-    Io(#[from] std::io::Error),
-    /// A process has no such name.
-    #[error("no process is named {0}")]
-    UnknownName(String),
-    /// A condition did not come true in time.
-    #[error("{0} did not come true in time")]
-    Timeout(String),
-    /// A command of the operators failed.
-    #[error("command failed: {0}")]
-    Command(String),
-    /// A certificate could not be made.
-    #[error("failed to make a certificate: {0}")]
-    Certificate(#[from] rcgen::Error),
-    /// A signal could not be sent.
-    #[error("failed to send a signal: {0}")]
-    Signal(#[from] nix::Error),
-}
-
 #[derive(Debug)]
 struct FleetProcess {
     name: String,
@@ -727,47 +667,3 @@
         }
     }
 }
-
-/// Takes a loopback network that no other fleet on the machine uses.
-fn take_network() -> Result<([u8; 2], TcpListener), FleetError> {
-    const FIRST: u32 = 16;
-    const COUNT: u32 = 200;
-    let start = std::process::id();
-    for step in 0..COUNT * COUNT {
-        let number = start.wrapping_mul(31).wrapping_add(step);
-        let network = [
-            (FIRST + (number / COUNT) % COUNT) as u8,
-            (FIRST + number % COUNT) as u8,
-        ];
-        let ip = Ipv4Addr::new(127, network[0], network[1], 254);
-        if let Ok(guard) = TcpListener::bind((ip, GUARD_PORT)) {
-            return Ok((network, guard));
-        }
-    }
-    Err(FleetError::Timeout("a free network".to_owned()))
-}
-
-/// Returns the path of a program that the workspace built, beside the test
-/// that runs.
-fn program(name: &str) -> PathBuf {
-    let test = std::env::current_exe().unwrap_or_default();
-    let deps = test.parent().unwrap_or(Path::new("."));
-    deps.parent().unwrap_or(Path::new(".")).join(name)
-}
-
-fn spawn(program: &Path, arguments: &[String], log: &Path) -> Result<Child, FleetError> {
-    let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
-    let child = Command::new(program)
-        .args(arguments)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone()?)
-        .stderr(log)
-        .spawn()?;
-    Ok(child)
-}
-
-async fn fetch<T: serde::de::DeserializeOwned>(url: &str) -> Option<T> {
-    const LIMIT: Duration = Duration::from_secs(1);
-    let client = reqwest::Client::builder().timeout(LIMIT).build().ok()?;
-    client.get(url).send().await.ok()?.json().await.ok()
-}
