Let tests wait for what daemons act on, at hosts too

The harness waited for balancers only, and for their roster, which the view that decisions use may follow by 250 ms. Ruled out: a relay that failed (there was no span of one). Change: /status tells how many hosts a process would send new flows to, and the harness waits for that number at each daemon. No assertion changed.

--- a/crates/hyssopstaird/src/admin.rs
+++ b/crates/hyssopstaird/src/admin.rs
@@ -34,6 +34,8 @@
     pub version: u64,
     /// The members that it knows.
     pub members: Vec<MemberEntry>,
+    /// Hosts of all services that the process would send new flows to.
+    pub candidates: usize,
 }
 
 /// Opens the operators' address.
@@ -63,10 +65,12 @@
 }
 
 async fn status(State(node): State<Arc<ControlNode>>) -> Json<StatusReport> {
+    let view = node.view();
     Json(StatusReport {
         process: node.me().to_string(),
-        version: node.view().version,
+        version: view.version,
         members: node.members(),
+        candidates: view.candidate_count(),
     })
 }
 
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -122,6 +122,11 @@
         Some(self.addresses[index].service)
     }
 
+    /// Returns the number of hosts, of all services, that may take new flows.
+    pub fn candidate_count(&self) -> usize {
+        self.hosts.iter().map(|item| item.candidates.len()).sum()
+    }
+
     /// Returns the hosts of a service that may take new flows.
     pub fn candidates(&self, service: ServiceId) -> &[PlacementCandidate] {
         match self
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -395,7 +395,7 @@
         fs::read_to_string(self.path(&format!("{name}.log"))).unwrap_or_default()
     }
 
-    /// Waits until every balancer that runs knows every host that runs.
+    /// Waits until every daemon that runs knows every host that runs.
     ///
     /// # Errors
     ///
@@ -406,10 +406,7 @@
             .iter()
             .filter(|name| self.is_running(name))
             .count();
-        for name in self.balancers() {
-            if !self.is_running(&name) {
-                continue;
-            }
+        for name in self.daemons() {
             self.wait_for(&format!("{name} knowing all hosts"), async || {
                 self.live_hosts(&name).await == Some(expected)
             })
@@ -438,15 +435,10 @@
         Ok(())
     }
 
-    /// Returns the number of hosts that a daemon counts as alive.
+    /// Returns the number of hosts that a daemon would send new flows to.
     pub async fn live_hosts(&self, name: &str) -> Option<usize> {
-        let status = self.status(name).await?;
-        let members = status["members"].as_array()?.clone();
-        let live = members
-            .iter()
-            .filter(|member| member["state"] == "Alive" && member["role"]["Host"].is_object())
-            .filter(|member| member["role"]["Host"]["service"] != 0);
-        Some(live.count())
+        let count = self.status(name).await?["candidates"].as_u64()?;
+        usize::try_from(count).ok()
     }
 
     /// Waits until a condition is true, for at most 20 seconds.
