Share what stood twice: rule text of the cost programs, header names

The two programs that measure rule files had the same generator, median and units; they stand in one module now. The names of the verdict and ticket headers were written in the daemon and again in the load tool; both take them from the requests package. A balancer's handle held nothing, so leaving is a function.

--- a/crates/hyssopstair/src/ops/load/requests.rs
+++ b/crates/hyssopstair/src/ops/load/requests.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use hyssopstair_requests::verdict::TICKET_HEADER;
 
 use crate::ops::load::caller::CallerError;
 use crate::ops::load::caller::CallerFlow;
@@ -23,9 +24,6 @@
 /// Body of a request that changes something.
 const BODY: &[u8] = b"one registration";
 
-/// Response header that carries a ticket.
-const TICKET_HEADER: &str = "hyssopstair-ticket";
-
 /// Request header that gives the time that a caller waits, in milliseconds.
 const DEADLINE_HEADER: &str = "hyssopstair-deadline";
 
--- a/crates/hyssopstair/src/ops/load/tally.rs
+++ b/crates/hyssopstair/src/ops/load/tally.rs
@@ -7,14 +7,12 @@
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
+use hyssopstair_requests::verdict::VERDICT_HEADER;
 use serde::Serialize;
 
 use crate::ops::load::caller::CallerError;
 use crate::ops::load::caller::WholeAnswer;
 
-/// Name of the response header that carries the verdict.
-const VERDICT_HEADER: &str = "hyssopstair-verdict";
-
 /// Digits of a latency that are kept.
 const LATENCY_DIGITS: u8 = 3;
 
--- a/crates/hyssopstaird/src/balancer/mod.rs
+++ b/crates/hyssopstaird/src/balancer/mod.rs
@@ -38,18 +38,10 @@
 /// How long a balancer goes on after it has told the fabric that it leaves.
 const LEAVE_TIME: Duration = Duration::from_secs(2);
 
-/// A balancer at work.
-#[derive(Debug)]
-pub struct BalancerHandle {
-    _private: (),
-}
-
-impl BalancerHandle {
-    /// Goes on until the fabric has turned to other balancers.
-    pub async fn drain(&self) {
-        log::info!("balancer: leaving");
-        tokio::time::sleep(LEAVE_TIME).await;
-    }
+/// Goes on until the fabric has turned to other balancers.
+pub async fn drain() {
+    log::info!("balancer: leaving");
+    tokio::time::sleep(LEAVE_TIME).await;
 }
 
 struct BalancerPaths {
@@ -67,7 +59,7 @@
 pub async fn start(
     settings: &BalancerSettings,
     node: Arc<ControlNode>,
-) -> Result<BalancerHandle, Report<DaemonError>> {
+) -> Result<(), Report<DaemonError>> {
     let entry = datagram::open(settings.entry)
         .await
         .change_context_lazy(|| {
@@ -86,7 +78,7 @@
         tokio::spawn(read_entry(paths.clone()));
         tokio::spawn(read_inner(paths.clone()));
     }
-    Ok(BalancerHandle { _private: () })
+    Ok(())
 }
 
 async fn read_entry(paths: Arc<BalancerPaths>) {
--- a/crates/hyssopstaird/src/host/answer.rs
+++ b/crates/hyssopstaird/src/host/answer.rs
@@ -13,6 +13,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use hyssopstair_requests::verdict::RequestVerdict;
+use hyssopstair_requests::verdict::TICKET_HEADER;
 use hyssopstair_requests::verdict::VERDICT_HEADER;
 use hyssopstair_telemetry::requests::note_verdict;
 use hyssopstair_wire::peer::HeaderField;
@@ -20,9 +21,6 @@
 
 use crate::host::backend::BackendAnswer;
 
-/// Response header that carries a fresh ticket.
-const TICKET_HEADER: &str = "hyssopstair-ticket";
-
 /// An answer that the host gives by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostAnswer {
--- a/crates/hyssopstaird/src/ops/run.rs
+++ b/crates/hyssopstaird/src/ops/run.rs
@@ -55,10 +55,10 @@
     control::spawn_loops(&node, &settings.platform);
     match &settings.role {
         RoleSettings::Balancer(role) => {
-            let handle = balancer::start(role, node.clone()).await?;
+            balancer::start(role, node.clone()).await?;
             wait_for_stop().await?;
             node.declare(MemberState::Draining).await;
-            handle.drain().await;
+            balancer::drain().await;
         }
         RoleSettings::Host(role) => {
             let handle = host::start(role, node.clone(), &desk).await?;
--- a/crates/platform/examples/update_cost.rs
+++ b/crates/platform/examples/update_cost.rs
@@ -2,10 +2,9 @@
 //! answer against the whole text, and times to find, make and check the edits
 //! and to read the new rules. The load at the target's rate of changes follows.
 
-use std::fmt::Write;
+mod support;
+
 use std::hint::black_box;
-use std::time::Duration;
-use std::time::Instant;
 
 use hyssopstair_platform::record::deflate_text;
 use hyssopstair_platform::update::VersionText;
@@ -17,6 +16,10 @@
 use hyssopstair_wire::peer::encode_answer;
 use hyssopstair_wire::peer::encode_request;
 
+use support::median;
+use support::millis;
+use support::rule_text;
+
 /// Sizes of the fleet, in services; the last is the target size.
 const SIZES: [u32; 3] = [100, 1_000, 8_700];
 
@@ -26,9 +29,6 @@
 /// Seconds of a day.
 const DAY_SECONDS: f64 = 86_400.0;
 
-/// Times that each step is repeated; the median is printed.
-const ROUNDS: usize = 5;
-
 /// The lines that an operator changes at once.
 #[derive(Debug, Clone, Copy)]
 enum ChangeSize {
@@ -110,40 +110,3 @@
         }
     }
 }
-
-/// Writes a rule file with five lines for each service.
-fn rule_text(services: u32) -> String {
-    let mut text = String::from("zone utr-a id 1  # A. Visser: where we run\n");
-    for index in 0..services {
-        let name = format!("service-{index:05}");
-        let id = index + 1;
-        let host = format!("10.{}.{}.{}", index >> 16, (index >> 8) & 255, index & 255);
-        let rules = [
-            format!("service {name} id {id} address {host}:4433"),
-            format!("limit {name} slots 3 connections 2000 queue 6"),
-            format!("deadline {name} {}", 1_000 + index),
-            format!("idempotent {name} GET /"),
-            format!("stream {name} /feed/"),
-        ];
-        for rule in rules {
-            let _ = writeln!(text, "{rule}  # A. Visser, course platform {index}");
-        }
-    }
-    text
-}
-
-fn median(mut step: impl FnMut()) -> Duration {
-    let mut times: Vec<Duration> = (0..ROUNDS)
-        .map(|_| {
-            let start = Instant::now();
-            step();
-            start.elapsed()
-        })
-        .collect();
-    times.sort_unstable();
-    times[ROUNDS / 2]
-}
-
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
--- a/crates/requests/src/verdict.rs
+++ b/crates/requests/src/verdict.rs
@@ -19,6 +19,9 @@
 /// Name of the response header that carries the verdict.
 pub const VERDICT_HEADER: &str = "hyssopstair-verdict";
 
+/// Name of the response header that carries a fresh ticket.
+pub const TICKET_HEADER: &str = "hyssopstair-ticket";
+
 impl RequestVerdict {
     /// Returns the value of the response header.
     pub fn header_value(&self) -> &'static str {
