--- /dev/null
+++ b/crates/flows/src/balancer/mod.rs
@@ -0,0 +1,258 @@
+//! What a balancer does with callers' packets and with messages of peers.
+//!
+//! A packet that opens a flow is offered to a host by [`placing`](crate::placing).
+//! Any other goes to the host that the table names, and if that has no entry, or
+//! a wrong one, to all hosts that may hold the flow; the one that does says so.
+//! The table is a hint: losing it costs a search and breaks nothing.
+
+mod opening;
+mod peers;
+mod search;
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use hyssopstair_wire::carried::CarryHeader;
+use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::FlowKey;
+use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::balancer::opening::PendingOpening;
+use crate::balancer::search::PendingSearch;
+use crate::event::DropReason;
+use crate::event::FlowEvent;
+use crate::members::MemberTable;
+use crate::outbox::FlowOutbox;
+use crate::packet::RawPacket;
+use crate::route_transfer::RouteAssembly;
+use crate::routes::RouteTable;
+use crate::table::FlowTable;
+
+/// Time between a tick that looks after pending flows and the next.
+pub const BUSY_TICK: Duration = Duration::from_millis(20);
+
+/// Shards of the table that one hello sweeps; the whole table takes 16 hellos.
+const SWEPT_SHARDS: usize = 16;
+
+/// Time that a balancer waits for the tables of its peers before it is ready.
+const TABLE_PATIENCE: Duration = Duration::from_millis(60);
+
+/// What a balancer is told at its start.
+#[derive(Debug, Clone)]
+pub struct BalancerIdentity {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Its availability zone.
+    pub zone: String,
+    /// The start of its process, in milliseconds since the Unix epoch.
+    pub started: u64,
+    /// Age after which a flow may be forgotten.
+    pub max_flow_age: Duration,
+}
+
+/// Where a balancer last knew a flow to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct FlowHint {
+    owner: Ipv4Addr,
+    used: MonotonicTime,
+}
+
+/// The decisions of one balancer.
+#[derive(Debug)]
+pub struct FlowBalancer {
+    identity: BalancerIdentity,
+    created: MonotonicTime,
+    routes: RouteTable,
+    assembly: RouteAssembly,
+    routes_asked: MonotonicTime,
+    members: MemberTable,
+    contacts: Vec<Ipv4Addr>,
+    hints: FlowTable<FlowHint>,
+    openings: Vec<PendingOpening>,
+    searches: Vec<PendingSearch>,
+    hello_number: u32,
+    next_hello: MonotonicTime,
+    first_host: Option<MonotonicTime>,
+    last_loss: Option<MonotonicTime>,
+    is_stopping: bool,
+}
+
+impl FlowBalancer {
+    /// Creates a balancer that knows the addresses of some others.
+    pub fn new(identity: BalancerIdentity, contacts: Vec<Ipv4Addr>, now: MonotonicTime) -> Self {
+        let mut balancer = Self {
+            identity,
+            created: now,
+            routes: RouteTable::default(),
+            assembly: RouteAssembly::default(),
+            routes_asked: MonotonicTime::default(),
+            members: MemberTable::default(),
+            contacts: Vec::new(),
+            hints: FlowTable::default(),
+            openings: Vec::new(),
+            searches: Vec::new(),
+            hello_number: 0,
+            next_hello: now,
+            first_host: None,
+            last_loss: None,
+            is_stopping: false,
+        };
+        balancer.add_contacts(&contacts);
+        balancer
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Returns the peers that are known.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Returns how many flows the table names a host for.
+    pub fn flows(&self) -> usize {
+        self.hints.len()
+    }
+
+    /// Returns whether callers' packets are served: routes and a host are known,
+    /// and peers had time to tell what they know.
+    pub fn is_ready(&self, now: MonotonicTime) -> bool {
+        let has_waited = self
+            .first_host
+            .is_some_and(|met| now.since(met) >= TABLE_PATIENCE);
+        !self.is_stopping && self.routes.version() > 0 && has_waited
+    }
+
+    /// Adds addresses at which there may be balancers.
+    pub fn add_contacts(&mut self, contacts: &[Ipv4Addr]) {
+        for contact in contacts {
+            if *contact == self.identity.address {
+                continue;
+            }
+            if let Err(index) = self.contacts.binary_search(contact) {
+                self.contacts.insert(index, *contact);
+            }
+        }
+    }
+
+    /// Puts routes in force, unless those in force are as new.
+    pub fn set_routes(&mut self, routes: RouteTable, outbox: &mut FlowOutbox) -> bool {
+        if routes.version() <= self.routes.version() {
+            return false;
+        }
+        self.routes = routes;
+        outbox.note(FlowEvent::Routes {
+            version: self.routes.version(),
+            routes: self.routes.len(),
+        });
+        // Peers learn the version at once and fetch it from here.
+        self.next_hello = MonotonicTime::default();
+        true
+    }
+
+    /// Decides about a packet of a caller.
+    pub fn receive_caller(
+        &mut self,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let header = &packet.header;
+        if header.opens_flow() {
+            self.receive_opening(packet, now, outbox);
+        } else if header.is_open {
+            // Only servers answer an opening packet.
+            outbox.note(FlowEvent::Dropped {
+                reason: DropReason::Malformed,
+            });
+        } else {
+            self.receive_middle(packet, now, outbox);
+        }
+    }
+
+    /// Returns when the next tick is due.
+    pub fn next_tick(&self, now: MonotonicTime) -> MonotonicTime {
+        if self.openings.is_empty() && self.searches.is_empty() {
+            self.next_hello
+        } else {
+            self.next_hello.min(now + BUSY_TICK)
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        self.retry_openings(now, outbox);
+        self.continue_searches(now, outbox);
+        if now >= self.next_hello {
+            self.greet_all(now, outbox);
+            self.forget_old(now, outbox);
+        }
+    }
+
+    /// Prepares the end of the process: the others get the table, and routers are
+    /// to send nothing more.
+    pub fn stop(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        self.is_stopping = true;
+        self.greet_all(now, outbox);
+        for peer in self.members.balancer_addresses() {
+            self.hand_over(peer, outbox);
+        }
+    }
+
+    fn receive_middle(
+        &mut self,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let flow = packet.header.caller_flow();
+        let Some(hint) = self.hints.get_mut(&flow) else {
+            self.search(flow, packet.bytes, now, outbox);
+            return;
+        };
+        hint.used = now;
+        let owner = hint.owner;
+        self.forward(owner, ForwardPurpose::Owner, packet.bytes, outbox);
+    }
+
+    fn forward(
+        &self,
+        host: Ipv4Addr,
+        purpose: ForwardPurpose,
+        bytes: &[u8],
+        outbox: &mut FlowOutbox,
+    ) {
+        let header = self.header(purpose);
+        outbox.send_message(host, &CarryMessage::Forward(header), bytes);
+    }
+
+    fn header(&self, purpose: ForwardPurpose) -> CarryHeader {
+        CarryHeader {
+            purpose,
+            balancer: self.identity.address,
+            routes: self.routes.version(),
+            best: None,
+            next: Default::default(),
+        }
+    }
+
+    fn learn_owner(&mut self, flow: FlowKey, owner: Ipv4Addr, now: MonotonicTime) {
+        self.hints.insert(flow, FlowHint { owner, used: now });
+    }
+
+    fn forget_old(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let oldest = self.identity.max_flow_age;
+        self.hints
+            .sweep(SWEPT_SHARDS, |_, hint| now.since(hint.used) < oldest);
+        for (peer, silence) in self.members.forget_silent(now) {
+            self.last_loss = Some(now);
+            outbox.note(FlowEvent::PeerLost {
+                peer,
+                silent_millis: silence.as_millis() as u32,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/flows/src/balancer/peers.rs
@@ -0,0 +1,233 @@
+//! Messages between a balancer and its peers.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use arrayvec::ArrayVec;
+use hyssopstair_wire::carried::BalancerHello;
+use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::FlowKey;
+use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::carried::HelloMessage;
+use hyssopstair_wire::carried::HelloRole;
+use hyssopstair_wire::carried::MAX_BATCH;
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::balancer::FlowBalancer;
+use crate::event::DropReason;
+use crate::event::FlowEvent;
+use crate::members::HelloOutcome;
+use crate::outbox::FlowOutbox;
+use crate::packet::RawPacket;
+use crate::route_transfer::send_routes;
+
+/// Time between two questions for routes.
+const ROUTES_PATIENCE: Duration = Duration::from_millis(150);
+
+impl FlowBalancer {
+    /// Decides about a message of a peer. `packet` is the packet behind it,
+    /// `behind` its bytes or those of another part.
+    pub fn receive_peer(
+        &mut self,
+        from: Ipv4Addr,
+        message: &CarryMessage,
+        packet: Option<&RawPacket<'_>>,
+        behind: &[u8],
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        match message {
+            CarryMessage::Hello(hello) => self.receive_hello(from, hello, now, outbox),
+            CarryMessage::Owned { flow, load } => {
+                self.members.record_load(from, *load, now);
+                self.learn_owner(*flow, from, now);
+                self.end_opening(flow);
+                self.end_search(flow, from, outbox);
+            }
+            CarryMessage::NotHeld { flow, is_certain } => {
+                self.note_not_held(flow, from, *is_certain, now, outbox);
+            }
+            CarryMessage::Returned { purpose } => {
+                if let Some(packet) = packet {
+                    self.receive_returned(from, *purpose, packet, now, outbox);
+                }
+            }
+            CarryMessage::Flows { owner, flows } => {
+                for flow in flows {
+                    if self.hints.get(flow).is_none() {
+                        self.learn_owner(*flow, *owner, now);
+                    }
+                }
+            }
+            CarryMessage::RoutesWanted { known } => {
+                if self.routes.version() > *known {
+                    send_routes(from, &self.routes, outbox);
+                }
+            }
+            CarryMessage::RoutesPart {
+                version,
+                part,
+                parts,
+            } => {
+                if let Some(routes) = self.assembly.take(*version, *part, *parts, behind) {
+                    self.set_routes(routes, outbox);
+                }
+            }
+            CarryMessage::Forward(_) => outbox.note(FlowEvent::Dropped {
+                reason: DropReason::Malformed,
+            }),
+        }
+    }
+
+    fn receive_returned(
+        &mut self,
+        from: Ipv4Addr,
+        purpose: ForwardPurpose,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        match purpose {
+            ForwardPurpose::Open | ForwardPurpose::OpenHere => {
+                self.offer_again(packet, now, outbox);
+            }
+            ForwardPurpose::Owner if packet.header.opens_flow() => {
+                self.hints.remove(&packet.header.caller_flow());
+                self.receive_opening(packet, now, outbox);
+            }
+            ForwardPurpose::Owner | ForwardPurpose::Search => {
+                self.search_again(packet, from, now, outbox);
+            }
+        }
+    }
+
+    fn receive_hello(
+        &mut self,
+        from: Ipv4Addr,
+        hello: &HelloMessage,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let outcome = self.members.record(from, hello, now);
+        if outcome == HelloOutcome::Late {
+            return;
+        }
+        let is_new = outcome == HelloOutcome::Met;
+        if is_new {
+            outbox.note(FlowEvent::PeerMet { peer: from });
+        }
+        if is_new || hello.wants_answer {
+            let answer = self.hello(false, now);
+            outbox.send_message(from, &CarryMessage::Hello(answer), &[]);
+        }
+        match &hello.role {
+            HelloRole::Host(host) => {
+                self.first_host.get_or_insert(now);
+                if is_new && host.is_relearning {
+                    self.tell_flows_of(from, from, outbox);
+                }
+                if host.is_stopping && host.server == hyssopstair_wire::carried::ServerState::Down {
+                    self.drop_hints_of(from);
+                }
+            }
+            HelloRole::Balancer(balancer) => {
+                self.add_contacts(&balancer.balancers);
+                if balancer.wants_flows {
+                    self.hand_over(from, outbox);
+                }
+            }
+        }
+        self.ask_for_routes(now, outbox);
+    }
+
+    /// Asks whoever has newer routes for them.
+    fn ask_for_routes(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let Some((version, peer)) = self.members.newest_routes() else {
+            return;
+        };
+        let known = self.routes.version();
+        if version <= known || now.since(self.routes_asked) < ROUTES_PATIENCE {
+            return;
+        }
+        self.routes_asked = now;
+        outbox.send_message(peer, &CarryMessage::RoutesWanted { known }, &[]);
+    }
+
+    /// Greets all peers, and the addresses at which there may be some.
+    pub(super) fn greet_all(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        self.next_hello = now + self.members.limits().hello_interval;
+        self.hello_number += 1;
+        let plain = CarryMessage::Hello(self.hello(false, now));
+        let question = CarryMessage::Hello(self.hello(true, now));
+        for host in self.members.hosts() {
+            outbox.send_message(host.peer.address, &plain, &[]);
+        }
+        for contact in &self.contacts {
+            let message = if self.members.has_balancer(*contact) {
+                &plain
+            } else {
+                &question
+            };
+            outbox.send_message(*contact, message, &[]);
+        }
+    }
+
+    fn hello(&self, wants_answer: bool, now: MonotonicTime) -> HelloMessage {
+        let others: ArrayVec<Ipv4Addr, _> = self
+            .members
+            .balancers()
+            .iter()
+            .rev()
+            .map(|record| record.peer.address)
+            .take(hyssopstair_wire::carried::MAX_PEERS_TOLD)
+            .collect();
+        HelloMessage {
+            started: self.identity.started,
+            number: self.hello_number,
+            zone: self.identity.zone.clone(),
+            routes: self.routes.version(),
+            wants_answer,
+            role: HelloRole::Balancer(BalancerHello {
+                is_stopping: self.is_stopping,
+                wants_flows: wants_answer && !self.is_ready(now),
+                balancers: others,
+            }),
+        }
+    }
+
+    /// Tells a peer all flows of the table.
+    pub(super) fn hand_over(&self, peer: Ipv4Addr, outbox: &mut FlowOutbox) {
+        for host in self.members.hosts() {
+            self.tell_flows_of(host.peer.address, peer, outbox);
+        }
+    }
+
+    /// Tells a peer the flows of one host.
+    fn tell_flows_of(&self, host: Ipv4Addr, peer: Ipv4Addr, outbox: &mut FlowOutbox) {
+        let flows: Vec<FlowKey> = self
+            .hints
+            .iter()
+            .filter(|(_, hint)| hint.owner == host)
+            .map(|(flow, _)| *flow)
+            .collect();
+        for batch in flows.chunks(MAX_BATCH) {
+            let message = CarryMessage::Flows {
+                owner: host,
+                flows: batch.iter().copied().collect(),
+            };
+            outbox.send_message(peer, &message, &[]);
+        }
+    }
+
+    fn drop_hints_of(&mut self, host: Ipv4Addr) {
+        let flows: Vec<FlowKey> = self
+            .hints
+            .iter()
+            .filter(|(_, hint)| hint.owner == host)
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flow in flows {
+            self.hints.remove(&flow);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flows/src/balancer/search.rs
@@ -0,0 +1,209 @@
+//! Looks for the host of a flow that the table does not name.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use hyssopstair_wire::carried::FlowKey;
+use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::carried::MAX_CANDIDATES;
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::balancer::FlowBalancer;
+use crate::event::BreakReason;
+use crate::event::FlowEvent;
+use crate::outbox::FlowOutbox;
+use crate::packet::RawPacket;
+use crate::ranking::hash_flow;
+use crate::ranking::rank_hosts;
+
+/// Time that a round of hosts has to answer before the next round is asked.
+const ROUND_PATIENCE: Duration = Duration::from_millis(20);
+
+/// Time after which a search that found nothing may start again. Callers repeat a
+/// packet after 200 ms.
+const SEARCH_MEMORY: Duration = Duration::from_millis(150);
+
+/// Searches at the same time; packets beyond them are left to the caller's
+/// repetition, so that a lost table cannot turn into a flood.
+const MAX_SEARCHES: usize = 512;
+
+/// Packets of one flow that a search keeps.
+const MAX_KEPT_PACKETS: usize = 4;
+
+/// Time since the last host was lost after which a flow that no host holds is
+/// certain to be gone.
+const STEADY_TIME: Duration = Duration::from_secs(5);
+
+/// A flow whose host is looked for.
+#[derive(Debug, Clone)]
+pub(super) struct PendingSearch {
+    flow: FlowKey,
+    started: MonotonicTime,
+    round_started: MonotonicTime,
+    /// The hosts that are not asked yet, the most likely last.
+    left: Vec<Ipv4Addr>,
+    /// The hosts that were asked and have not answered.
+    waiting: Vec<Ipv4Addr>,
+    packets: Vec<Vec<u8>>,
+    acknowledged: u32,
+    is_uncertain: bool,
+}
+
+impl FlowBalancer {
+    pub(super) fn search(
+        &mut self,
+        flow: FlowKey,
+        bytes: &[u8],
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        if let Some(search) = self.searches.iter_mut().find(|search| search.flow == flow) {
+            if search.packets.len() < MAX_KEPT_PACKETS {
+                search.packets.push(bytes.to_vec());
+            }
+            return;
+        }
+        if self.searches.len() >= MAX_SEARCHES {
+            return;
+        }
+        let service = self
+            .routes
+            .route(flow.target)
+            .and_then(|route| route.service_of(&flow));
+        let mut hosts: Vec<Ipv4Addr> = self
+            .members
+            .hosts()
+            .iter()
+            .filter(|record| service.is_none_or(|service| record.service == service))
+            .map(|record| record.peer.address)
+            .collect();
+        rank_hosts(hash_flow(&flow), &mut hosts);
+        hosts.reverse();
+        outbox.note(FlowEvent::Searching { flow, skipped: 0 });
+        self.searches.push(PendingSearch {
+            flow,
+            started: now,
+            round_started: now,
+            left: hosts,
+            waiting: Vec::new(),
+            packets: vec![bytes.to_vec()],
+            acknowledged: 0,
+            is_uncertain: false,
+        });
+        let index = self.searches.len() - 1;
+        self.ask_round(index, now, outbox);
+    }
+
+    /// Sends a returned packet on to all hosts that may hold its flow.
+    pub(super) fn search_again(
+        &mut self,
+        packet: &RawPacket<'_>,
+        from: Ipv4Addr,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let flow = packet.header.caller_flow();
+        match self.hints.get(&flow) {
+            Some(hint) if hint.owner != from => {
+                let owner = hint.owner;
+                self.forward(owner, ForwardPurpose::Owner, packet.bytes, outbox);
+            }
+            _ => {
+                self.hints.remove(&flow);
+                self.search(flow, packet.bytes, now, outbox);
+            }
+        }
+    }
+
+    /// Ends a search that found the host.
+    pub(super) fn end_search(&mut self, flow: &FlowKey, owner: Ipv4Addr, outbox: &mut FlowOutbox) {
+        let Some(index) = self.searches.iter().position(|search| search.flow == *flow) else {
+            return;
+        };
+        let search = self.searches.swap_remove(index);
+        // The first packet has reached the host with the question.
+        for bytes in search.packets.iter().skip(1) {
+            self.forward(owner, ForwardPurpose::Owner, bytes, outbox);
+        }
+    }
+
+    /// Notes that a host does not hold a flow.
+    pub(super) fn note_not_held(
+        &mut self,
+        flow: &FlowKey,
+        host: Ipv4Addr,
+        is_certain: bool,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let Some(index) = self.searches.iter().position(|search| search.flow == *flow) else {
+            return;
+        };
+        let search = &mut self.searches[index];
+        search.waiting.retain(|waiting| *waiting != host);
+        search.is_uncertain |= !is_certain;
+        if search.waiting.is_empty() && !search.left.is_empty() {
+            self.ask_round(index, now, outbox);
+        } else if search.waiting.is_empty() {
+            self.conclude(index, now, outbox);
+        }
+    }
+
+    pub(super) fn continue_searches(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        for index in (0..self.searches.len()).rev() {
+            let search = &self.searches[index];
+            if now.since(search.started) >= SEARCH_MEMORY {
+                let search = self.searches.swap_remove(index);
+                outbox.note(FlowEvent::Unowned {
+                    flow: search.flow,
+                    is_uncertain: true,
+                });
+            } else if now.since(search.round_started) >= ROUND_PATIENCE && !search.left.is_empty() {
+                self.ask_round(index, now, outbox);
+            }
+        }
+    }
+
+    fn ask_round(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let header = self.header(ForwardPurpose::Search);
+        let search = &mut self.searches[index];
+        search.round_started = now;
+        let start = search.left.len().saturating_sub(MAX_CANDIDATES);
+        let round = search.left.split_off(start);
+        let message = hyssopstair_wire::carried::CarryMessage::Forward(header);
+        for host in &round {
+            outbox.send_message(*host, &message, &search.packets[0]);
+        }
+        search.waiting.extend(round);
+    }
+
+    /// Every host has said that it does not hold the flow.
+    fn conclude(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let search = self.searches.swap_remove(index);
+        let is_steady = self.is_steady(now);
+        if search.is_uncertain || !is_steady {
+            outbox.note(FlowEvent::Unowned {
+                flow: search.flow,
+                is_uncertain: true,
+            });
+            return;
+        }
+        outbox.send_reset(search.flow, search.acknowledged);
+        outbox.note(FlowEvent::Broken {
+            flow: search.flow,
+            reason: BreakReason::ServerForgot,
+        });
+    }
+
+    /// Returns whether every host that may hold a flow is known and heard.
+    fn is_steady(&self, now: MonotonicTime) -> bool {
+        let limits = self.members.limits();
+        let all_heard = self
+            .members
+            .hosts()
+            .iter()
+            .all(|record| now.since(record.peer.heard) < limits.suspect_after);
+        let since_loss = self.last_loss.unwrap_or(self.created);
+        all_heard && now.since(since_loss) >= STEADY_TIME
+    }
+}
--- /dev/null
+++ b/crates/flows/src/event.rs
@@ -0,0 +1,156 @@
+//! What happened to a flow or to what a process believes, for logs and metrics.
+
+use std::net::Ipv4Addr;
+
+use hyssopstair_wire::carried::FlowKey;
+use hyssopstair_wire::carried::ServerState;
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FlowEvent {
+    /// A balancer sent a new flow to a host.
+    Placed {
+        /// The flow.
+        flow: FlowKey,
+        /// The first host that is asked.
+        host: Ipv4Addr,
+        /// Version of the routes.
+        routes: u64,
+        /// Requests in progress at the host, by its last report.
+        in_progress: u16,
+        /// Age of that report, in milliseconds.
+        report_age_millis: u32,
+        /// Hosts asked before, for a flow that was not taken at once.
+        attempt: u8,
+    },
+    /// A host passed a new flow on, as its server is busy or takes none.
+    PassedOn {
+        /// The flow.
+        flow: FlowKey,
+        /// The next host.
+        host: Ipv4Addr,
+        /// What the server does.
+        server: ServerState,
+        /// Requests in progress at the server.
+        in_progress: u16,
+    },
+    /// A host handed a new flow to its server.
+    Offered {
+        /// The flow.
+        flow: FlowKey,
+        /// The balancer that it came through.
+        balancer: Ipv4Addr,
+        /// Requests in progress at the server.
+        in_progress: u16,
+    },
+    /// A flow was refused; it has not opened.
+    Refused {
+        /// The flow.
+        flow: FlowKey,
+        /// Why.
+        reason: RefusalReason,
+        /// Version of the routes.
+        routes: u64,
+    },
+    /// A caller was told that its open flow is gone.
+    Broken {
+        /// The flow.
+        flow: FlowKey,
+        /// Why.
+        reason: BreakReason,
+    },
+    /// A balancer does not know the host of a flow and looks for it.
+    Searching {
+        /// The flow.
+        flow: FlowKey,
+        /// Hosts asked before.
+        skipped: u16,
+    },
+    /// No host was found for a packet, and the packet was dropped.
+    Unowned {
+        /// The flow.
+        flow: FlowKey,
+        /// Whether a host that may hold it could not tell.
+        is_uncertain: bool,
+    },
+    /// A host measured how long its server took to answer.
+    Answered {
+        /// The flow.
+        flow: FlowKey,
+        /// Time from the request to the first data of the answer.
+        micros: u32,
+    },
+    /// The state of the server beside a host changed.
+    Server {
+        /// The state before.
+        before: ServerState,
+        /// The state now.
+        state: ServerState,
+        /// What told so.
+        source: ServerEvidence,
+    },
+    /// A peer was met, or met again after a restart.
+    PeerMet {
+        /// Its address.
+        peer: Ipv4Addr,
+    },
+    /// A peer was not heard of for long and was forgotten.
+    PeerLost {
+        /// Its address.
+        peer: Ipv4Addr,
+        /// Time since it was heard last, in milliseconds.
+        silent_millis: u32,
+    },
+    /// New routes are in force.
+    Routes {
+        /// Their version.
+        version: u64,
+        /// How many there are.
+        routes: usize,
+    },
+    /// A datagram was dropped.
+    Dropped {
+        /// Why.
+        reason: DropReason,
+    },
+}
+
+/// Why a flow was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// No route has the address.
+    NoRoute,
+    /// The service has no host.
+    NoHost,
+    /// All hosts that were asked are full or leaving.
+    NoCapacity,
+}
+
+/// Why an open flow was broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BreakReason {
+    /// The server that held it has ended.
+    ServerEnded,
+    /// The server says that it does not hold it.
+    ServerForgot,
+}
+
+/// What told a host about its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerEvidence {
+    /// A heartbeat.
+    Heartbeat,
+    /// A health check.
+    HealthCheck,
+    /// An attempt to connect.
+    Connect,
+}
+
+/// Why a datagram was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DropReason {
+    /// It is no packet or message, or one that cannot come from there.
+    Malformed,
+    /// It opens a flow, and nothing is known yet that could serve it.
+    NotReady,
+}
--- /dev/null
+++ b/crates/flows/src/gate/mod.rs
@@ -0,0 +1,401 @@
+//! What a host does with packets to and from the backend server beside it.
+//!
+//! Every packet to the server and from it passes here, so the gate knows which
+//! flows the server holds, how many requests it works on and how long it takes.
+//! Whatever a balancer believes, the gate hands the server only packets of its
+//! own flows, and opens no flow after the server has said that it leaves.
+
+mod load;
+mod opening;
+mod peers;
+mod records;
+mod server;
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use hyssopstair_wire::carried::CarryHeader;
+use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::FlowKey;
+use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::carried::ServerState;
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::event::BreakReason;
+use crate::event::FlowEvent;
+use crate::gate::load::LoadMeter;
+use crate::gate::records::FlowPhase;
+use crate::gate::records::FlowRecord;
+pub use crate::gate::server::CheckResult;
+pub use crate::gate::server::ServerCheck;
+use crate::gate::server::ServerWatch;
+use crate::members::MemberTable;
+use crate::outbox::Destination;
+use crate::outbox::FlowOutbox;
+use crate::packet::RawPacket;
+use crate::route_transfer::RouteAssembly;
+use crate::routes::RouteTable;
+use crate::table::FlowTable;
+
+/// Time between two ticks.
+pub const GATE_TICK: Duration = Duration::from_millis(50);
+
+/// Shards of the table that one tick sweeps; the whole table takes a second and more.
+const SWEPT_SHARDS: usize = 12;
+
+/// What a host is told at its start.
+#[derive(Debug, Clone)]
+pub struct GateIdentity {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Name of the service of its server.
+    pub service: String,
+    /// The start of its process, in milliseconds since the Unix epoch.
+    pub started: u64,
+    /// Age after which a flow may be forgotten.
+    pub max_flow_age: Duration,
+}
+
+/// The decisions of one host.
+#[derive(Debug)]
+pub struct FlowGate {
+    identity: GateIdentity,
+    created: MonotonicTime,
+    routes: RouteTable,
+    assembly: RouteAssembly,
+    routes_asked: MonotonicTime,
+    members: MemberTable,
+    contacts: Vec<Ipv4Addr>,
+    flows: FlowTable<FlowRecord>,
+    load: LoadMeter,
+    server: ServerWatch,
+    is_relearning: bool,
+    is_stopping: bool,
+    hello_number: u32,
+    next_hello: MonotonicTime,
+}
+
+impl FlowGate {
+    /// Creates the gate of a host that knows the addresses of some balancers.
+    pub fn new(identity: GateIdentity, contacts: Vec<Ipv4Addr>, now: MonotonicTime) -> Self {
+        let mut gate = Self {
+            identity,
+            created: now,
+            routes: RouteTable::default(),
+            assembly: RouteAssembly::default(),
+            routes_asked: MonotonicTime::default(),
+            members: MemberTable::default(),
+            contacts: Vec::new(),
+            flows: FlowTable::default(),
+            load: LoadMeter::new(now),
+            server: ServerWatch::new(now),
+            // The server may be older than this process and hold flows.
+            is_relearning: true,
+            is_stopping: false,
+            hello_number: 0,
+            next_hello: now,
+        };
+        gate.add_contacts(&contacts);
+        gate
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Returns the peers that are known.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Returns how many flows the server holds.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns what the server does.
+    pub fn server_state(&self) -> ServerState {
+        self.server.state()
+    }
+
+    /// Returns the requests that the server works on.
+    pub fn in_progress(&self) -> u16 {
+        self.load.in_progress()
+    }
+
+    /// Returns the path of the server's health check, once routes are known.
+    pub fn health_path(&self) -> Option<&str> {
+        self.routes.health_path(&self.identity.service)
+    }
+
+    /// Puts another service beside the host; flows of the one before are gone.
+    pub fn set_service(&mut self, service: &str, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        if self.identity.service == service {
+            return;
+        }
+        self.identity.service = service.to_owned();
+        self.break_all(outbox);
+        self.say_hello_soon();
+        self.tick(now, outbox);
+    }
+
+    /// Decides about a caller's packet that a balancer or a host sent.
+    pub fn receive_forwarded(
+        &mut self,
+        header: &CarryHeader,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        if packet.header.is_open && packet.header.has_ack {
+            return;
+        }
+        match header.purpose {
+            ForwardPurpose::Open | ForwardPurpose::OpenHere => {
+                self.receive_opening(header, packet, now, outbox);
+            }
+            ForwardPurpose::Owner | ForwardPurpose::Search => {
+                self.receive_middle(header, packet, now, outbox);
+            }
+        }
+    }
+
+    /// Decides about a packet that the server sent.
+    pub fn receive_server(
+        &mut self,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        self.server.note_heard(now);
+        if packet.header.is_bounced {
+            self.receive_bounced(packet, now, outbox);
+            return;
+        }
+        let header = &packet.header;
+        let flow = header.server_flow();
+        outbox.send_packet(Destination::Caller(*flow.caller.ip()), packet.bytes);
+        self.note_answer(&flow, packet, now, outbox);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        self.load.tick(now);
+        self.sweep(now);
+        if now >= self.next_hello {
+            self.greet_all(now, outbox);
+            for (peer, silence) in self.members.forget_silent(now) {
+                outbox.note(FlowEvent::PeerLost {
+                    peer,
+                    silent_millis: silence.as_millis() as u32,
+                });
+            }
+        }
+        if now.since(self.created) >= self.identity.max_flow_age {
+            self.is_relearning = false;
+        }
+    }
+
+    /// Prepares the end of the process: new flows are to go elsewhere.
+    pub fn stop(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        self.is_stopping = true;
+        self.greet_all(now, outbox);
+    }
+
+    fn receive_middle(
+        &mut self,
+        header: &CarryHeader,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let flow = packet.header.caller_flow();
+        let is_search = header.purpose == ForwardPurpose::Search;
+        let Some(record) = self.flows.get_mut(&flow) else {
+            self.receive_unknown(header, packet, now, outbox);
+            return;
+        };
+        match record.phase {
+            FlowPhase::Absent => {
+                self.disown(header, packet, outbox);
+                return;
+            }
+            FlowPhase::Broken => {
+                outbox.send_reset(flow, packet.header.acknowledged);
+                return;
+            }
+            FlowPhase::Offered if !record.is_answer_acknowledged(&packet.header) => {
+                // The caller took the answer of another server.
+                self.disown(header, packet, outbox);
+                return;
+            }
+            _ => {}
+        }
+        record.balancer = header.balancer;
+        if is_search {
+            self.tell_owned(flow, header.balancer, outbox);
+        }
+        self.deliver(&flow, packet, now, outbox);
+    }
+
+    /// Handles a packet of a flow that the host has never seen. A host that was
+    /// started beside a running server asks the server by handing it the packet.
+    fn receive_unknown(
+        &mut self,
+        header: &CarryHeader,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let may_hold = self.is_relearning && self.server.state() != ServerState::Down;
+        if !may_hold || packet.header.opens_flow() {
+            self.disown(header, packet, outbox);
+            return;
+        }
+        let flow = packet.header.caller_flow();
+        self.flows
+            .insert(flow, FlowRecord::asked(header.clone(), now));
+        self.deliver(&flow, packet, now, outbox);
+    }
+
+    /// Tells a balancer that the server does not hold a flow.
+    fn disown(&self, header: &CarryHeader, packet: &RawPacket<'_>, outbox: &mut FlowOutbox) {
+        let message = match header.purpose {
+            ForwardPurpose::Search => CarryMessage::NotHeld {
+                flow: packet.header.caller_flow(),
+                is_certain: true,
+            },
+            purpose => {
+                let message = CarryMessage::Returned { purpose };
+                outbox.send_message(header.balancer, &message, packet.bytes);
+                return;
+            }
+        };
+        outbox.send_message(header.balancer, &message, &[]);
+    }
+
+    /// Hands a packet to the server.
+    fn deliver(
+        &mut self,
+        flow: &FlowKey,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        outbox.send_packet(Destination::Server, packet.bytes);
+        self.server.note_delivered(now);
+        let Some(record) = self.flows.get_mut(flow) else {
+            return;
+        };
+        record.used = now;
+        if packet.header.has_ack {
+            record.acknowledged = packet.header.acknowledged;
+        }
+        if packet.header.opens_flow() {
+            return;
+        }
+        if record.phase == FlowPhase::Offered {
+            record.phase = FlowPhase::Open;
+            self.load.end_offer();
+        }
+        if packet.header.data_length > 0 && record.asked_at.is_none() {
+            record.asked_at = Some(now);
+            self.load.begin_request();
+        }
+        if packet.header.is_finish || packet.header.is_reset {
+            record.close_caller(packet.header.is_reset);
+        }
+    }
+
+    /// Learns from a packet of the server which flows it holds and how fast it is.
+    fn note_answer(
+        &mut self,
+        flow: &FlowKey,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let header = &packet.header;
+        let Some(record) = self.flows.get_mut(flow) else {
+            // The flow is older than this process.
+            if !header.is_reset {
+                self.flows.insert(*flow, FlowRecord::learnt(now));
+            }
+            return;
+        };
+        record.used = now;
+        let mut owned_by = None;
+        if header.is_open && header.has_ack && record.phase == FlowPhase::Offered {
+            record.answer_sequence = Some(header.sequence);
+            owned_by = Some(record.balancer);
+        }
+        if matches!(record.phase, FlowPhase::Asked | FlowPhase::Absent) && !header.is_reset {
+            record.phase = FlowPhase::Open;
+            owned_by = Some(record.balancer);
+        }
+        let asked_at = if header.data_length > 0 || header.is_reset {
+            record.asked_at.take()
+        } else {
+            None
+        };
+        if header.is_finish || header.is_reset {
+            record.close_server(header.is_reset);
+        }
+        if let Some(asked_at) = asked_at {
+            let took = now.since(asked_at);
+            self.load.end_request(took);
+            outbox.note(FlowEvent::Answered {
+                flow: *flow,
+                micros: took.as_micros() as u32,
+            });
+        }
+        if let Some(balancer) = owned_by {
+            self.tell_owned(*flow, balancer, outbox);
+        }
+    }
+
+    fn receive_bounced(
+        &mut self,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        if packet.header.opens_flow() {
+            self.pass_bounced_opening(packet, now, outbox);
+            return;
+        }
+        let flow = packet.header.caller_flow();
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        match record.phase {
+            FlowPhase::Asked => {
+                let header = record.origin.take();
+                self.set_phase(&flow, FlowPhase::Absent);
+                if let Some(header) = header {
+                    self.disown(&header, packet, outbox);
+                }
+            }
+            FlowPhase::Open => {
+                self.set_phase(&flow, FlowPhase::Broken);
+                outbox.send_reset(flow, packet.header.acknowledged);
+                outbox.note(FlowEvent::Broken {
+                    flow,
+                    reason: BreakReason::ServerForgot,
+                });
+            }
+            FlowPhase::Offered | FlowPhase::Closed | FlowPhase::Absent | FlowPhase::Broken => {}
+        }
+    }
+
+    fn tell_owned(&self, flow: FlowKey, balancer: Ipv4Addr, outbox: &mut FlowOutbox) {
+        if balancer.is_unspecified() {
+            return;
+        }
+        let load = self.report();
+        outbox.send_message(balancer, &CarryMessage::Owned { flow, load }, &[]);
+    }
+}
--- /dev/null
+++ b/crates/flows/src/gate/opening.rs
@@ -0,0 +1,212 @@
+//! Takes new flows, or passes them on.
+//!
+//! The load it answers: bursts at which most servers have all slots taken while
+//! a few have one free. A balancer's view is older than a request takes, so the
+//! host that is asked looks at its own requests and hands the flow to the next
+//! candidate when its server would let it wait. After the last one, the least
+//! busy of those asked takes it.
+
+use std::net::Ipv4Addr;
+
+use hyssopstair_wire::carried::CarryHeader;
+use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::FlowKey;
+use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::carried::ServerState;
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::event::FlowEvent;
+use crate::gate::FlowGate;
+use crate::gate::records::FlowPhase;
+use crate::gate::records::FlowRecord;
+use crate::outbox::FlowOutbox;
+use crate::packet::RawPacket;
+
+/// Requests for each slot beyond which a server gets no more: those would wait
+/// for three answers before their turn.
+const MAX_REQUESTS_PER_SLOT: u16 = 4;
+
+/// Slots of a server that has not told how many it has.
+const ASSUMED_SLOTS: u16 = 2;
+
+/// What the gate can do with a new flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OpeningVerdict {
+    /// A slot is free.
+    Take,
+    /// It would wait behind this many requests.
+    Wait(u16),
+    /// The server takes no new flows.
+    Refuse,
+}
+
+impl FlowGate {
+    pub(super) fn receive_opening(
+        &mut self,
+        header: &CarryHeader,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let flow = packet.header.caller_flow();
+        if self.is_same_opening(&flow) {
+            self.deliver(&flow, packet, now, outbox);
+            return;
+        }
+        let verdict = self.judge(header, &flow);
+        let mut onward = header.clone();
+        match verdict {
+            OpeningVerdict::Take => self.take(header, packet, now, outbox),
+            OpeningVerdict::Wait(_) if header.purpose == ForwardPurpose::OpenHere => {
+                self.take(header, packet, now, outbox);
+            }
+            OpeningVerdict::Wait(requests) => {
+                if onward.best.is_none_or(|(_, least)| requests < least) {
+                    onward.best = Some((self.identity.address, requests));
+                }
+                self.pass_on(onward, packet, now, outbox);
+            }
+            OpeningVerdict::Refuse => self.pass_on(onward, packet, now, outbox),
+        }
+    }
+
+    /// Passes a flow on that the server itself turned away.
+    pub(super) fn pass_bounced_opening(
+        &mut self,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let flow = packet.header.caller_flow();
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        if record.phase != FlowPhase::Offered || record.answer_sequence.is_some() {
+            return;
+        }
+        let origin = record.origin.take();
+        self.flows.remove(&flow);
+        self.load.end_offer();
+        if let Some(origin) = origin {
+            self.pass_on(*origin, packet, now, outbox);
+        }
+    }
+
+    /// Returns how many requests the server works on at the same time.
+    pub(super) fn slots(&self) -> u16 {
+        self.server.slots().unwrap_or(ASSUMED_SLOTS)
+    }
+
+    fn is_same_opening(&self, flow: &FlowKey) -> bool {
+        self.flows
+            .get(flow)
+            .is_some_and(|record| record.phase == FlowPhase::Offered)
+    }
+
+    fn judge(&self, header: &CarryHeader, flow: &FlowKey) -> OpeningVerdict {
+        if self.server.state() != ServerState::Ready || self.is_stopping {
+            return OpeningVerdict::Refuse;
+        }
+        // The newer of the two tables decides; a balancer with newer routes may
+        // know one that has not arrived here.
+        if self.routes.version() >= header.routes && self.routes.version() > 0 {
+            let allowed = self
+                .routes
+                .route(flow.target)
+                .is_some_and(|route| route.allows(&self.identity.service));
+            if !allowed {
+                return OpeningVerdict::Refuse;
+            }
+        }
+        let requests = self.load.in_progress();
+        if requests < self.slots() {
+            OpeningVerdict::Take
+        } else if requests < self.slots() * MAX_REQUESTS_PER_SLOT {
+            OpeningVerdict::Wait(requests)
+        } else {
+            OpeningVerdict::Refuse
+        }
+    }
+
+    fn take(
+        &mut self,
+        header: &CarryHeader,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let flow = packet.header.caller_flow();
+        // An earlier flow with the same two ends is over for its caller.
+        self.set_phase(&flow, FlowPhase::Closed);
+        self.flows
+            .insert(flow, FlowRecord::offered(header.clone(), now));
+        self.load.begin_offer();
+        outbox.note(FlowEvent::Offered {
+            flow,
+            balancer: header.balancer,
+            in_progress: self.load.in_progress(),
+        });
+        self.deliver(&flow, packet, now, outbox);
+    }
+
+    fn pass_on(
+        &mut self,
+        mut header: CarryHeader,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let flow = packet.header.caller_flow();
+        if header.next.is_empty() {
+            self.end_round(header, packet, now, outbox);
+            return;
+        }
+        let host = header.next.remove(0);
+        self.send_on(host, header, flow, packet, outbox);
+    }
+
+    /// No candidate has a free slot: the least busy one takes the flow.
+    fn end_round(
+        &mut self,
+        mut header: CarryHeader,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let flow = packet.header.caller_flow();
+        match header.best {
+            Some((host, _)) if host == self.identity.address => {
+                self.take(&header, packet, now, outbox);
+            }
+            Some((host, _)) => {
+                header.purpose = ForwardPurpose::OpenHere;
+                // If it has changed its mind, the balancer chooses again.
+                header.best = None;
+                self.send_on(host, header, flow, packet, outbox);
+            }
+            None => {
+                let message = CarryMessage::Returned {
+                    purpose: header.purpose,
+                };
+                outbox.send_message(header.balancer, &message, packet.bytes);
+            }
+        }
+    }
+
+    fn send_on(
+        &self,
+        host: Ipv4Addr,
+        header: CarryHeader,
+        flow: FlowKey,
+        packet: &RawPacket<'_>,
+        outbox: &mut FlowOutbox,
+    ) {
+        outbox.note(FlowEvent::PassedOn {
+            flow,
+            host,
+            server: self.server.state(),
+            in_progress: self.load.in_progress(),
+        });
+        outbox.send_message(host, &CarryMessage::Forward(header), packet.bytes);
+    }
+}
--- /dev/null
+++ b/crates/flows/src/gate/peers.rs
@@ -0,0 +1,173 @@
+//! Messages between a host and its peers.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use hyssopstair_wire::carried::CarryLoad;
+use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::HelloMessage;
+use hyssopstair_wire::carried::HelloRole;
+use hyssopstair_wire::carried::HostHello;
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::event::FlowEvent;
+use crate::gate::FlowGate;
+use crate::gate::GATE_TICK;
+use crate::gate::records::FlowRecord;
+use crate::members::HelloOutcome;
+use crate::outbox::FlowOutbox;
+use crate::packet::RawPacket;
+use crate::route_transfer::send_routes;
+use crate::routes::RouteTable;
+
+/// Time between two questions for routes.
+const ROUTES_PATIENCE: Duration = Duration::from_millis(150);
+
+impl FlowGate {
+    /// Decides about a message of a peer. `packet` is the packet behind it,
+    /// `behind` its bytes or those of another part.
+    pub fn receive_peer(
+        &mut self,
+        from: Ipv4Addr,
+        message: &CarryMessage,
+        packet: Option<&RawPacket<'_>>,
+        behind: &[u8],
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        match message {
+            CarryMessage::Forward(header) => {
+                if let Some(packet) = packet {
+                    self.receive_forwarded(header, packet, now, outbox);
+                }
+            }
+            CarryMessage::Hello(hello) => self.receive_hello(from, hello, now, outbox),
+            CarryMessage::Flows { owner, flows } if *owner == self.identity.address => {
+                if !self.is_relearning {
+                    return;
+                }
+                for flow in flows {
+                    if self.flows.get(flow).is_none() {
+                        self.flows.insert(*flow, FlowRecord::learnt(now));
+                    }
+                }
+            }
+            CarryMessage::RoutesWanted { known } => {
+                if self.routes.version() > *known {
+                    send_routes(from, &self.routes, outbox);
+                }
+            }
+            CarryMessage::RoutesPart {
+                version,
+                part,
+                parts,
+            } => {
+                if let Some(routes) = self.assembly.take(*version, *part, *parts, behind) {
+                    self.set_routes(routes, outbox);
+                }
+            }
+            CarryMessage::Flows { .. }
+            | CarryMessage::Owned { .. }
+            | CarryMessage::NotHeld { .. }
+            | CarryMessage::Returned { .. } => {}
+        }
+    }
+
+    /// Puts routes in force, unless those in force are as new.
+    pub fn set_routes(&mut self, routes: RouteTable, outbox: &mut FlowOutbox) -> bool {
+        if routes.version() <= self.routes.version() {
+            return false;
+        }
+        self.routes = routes;
+        outbox.note(FlowEvent::Routes {
+            version: self.routes.version(),
+            routes: self.routes.len(),
+        });
+        true
+    }
+
+    /// Adds addresses at which there may be balancers.
+    pub fn add_contacts(&mut self, contacts: &[Ipv4Addr]) {
+        for contact in contacts {
+            if let Err(index) = self.contacts.binary_search(contact) {
+                self.contacts.insert(index, *contact);
+                self.say_hello_soon();
+            }
+        }
+    }
+
+    /// Returns when the next tick is due.
+    pub fn next_tick(&self, now: MonotonicTime) -> MonotonicTime {
+        self.next_hello.min(now + GATE_TICK)
+    }
+
+    /// Returns how busy the server is.
+    pub(super) fn report(&self) -> CarryLoad {
+        CarryLoad {
+            in_progress: self.load.in_progress(),
+            mean_sixteenths: self.load.mean_sixteenths(),
+            slots: self.slots(),
+            flows: self.flows.len().min(usize::from(u16::MAX)) as u16,
+            answer_micros: self.load.answer_micros(),
+        }
+    }
+
+    pub(super) fn say_hello_soon(&mut self) {
+        self.next_hello = MonotonicTime::default();
+    }
+
+    pub(super) fn greet_all(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        self.next_hello = now + self.members.limits().hello_interval;
+        self.hello_number += 1;
+        for contact in &self.contacts {
+            let hello = self.hello(!self.members.has_balancer(*contact));
+            outbox.send_message(*contact, &CarryMessage::Hello(hello), &[]);
+        }
+    }
+
+    fn hello(&self, wants_answer: bool) -> HelloMessage {
+        HelloMessage {
+            started: self.identity.started,
+            number: self.hello_number,
+            zone: self.identity.zone.clone(),
+            routes: self.routes.version(),
+            wants_answer,
+            role: HelloRole::Host(HostHello {
+                service: self.identity.service.clone(),
+                server: self.server.state(),
+                load: self.report(),
+                is_relearning: self.is_relearning,
+                is_stopping: self.is_stopping,
+            }),
+        }
+    }
+
+    fn receive_hello(
+        &mut self,
+        from: Ipv4Addr,
+        hello: &HelloMessage,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let outcome = self.members.record(from, hello, now);
+        if outcome == HelloOutcome::Late {
+            return;
+        }
+        if outcome == HelloOutcome::Met {
+            outbox.note(FlowEvent::PeerMet { peer: from });
+        }
+        if let HelloRole::Balancer(balancer) = &hello.role {
+            self.add_contacts(&balancer.balancers);
+            self.add_contacts(&[from]);
+            if outcome == HelloOutcome::Met {
+                let answer = CarryMessage::Hello(self.hello(false));
+                outbox.send_message(from, &answer, &[]);
+            }
+        }
+        if hello.routes > self.routes.version() && now.since(self.routes_asked) >= ROUTES_PATIENCE {
+            self.routes_asked = now;
+            let known = self.routes.version();
+            outbox.send_message(from, &CarryMessage::RoutesWanted { known }, &[]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flows/src/gate/records.rs
@@ -0,0 +1,195 @@
+//! The flows that a host knows.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use hyssopstair_wire::carried::CarryHeader;
+use hyssopstair_wire::carried::FlowKey;
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::event::BreakReason;
+use crate::event::FlowEvent;
+use crate::gate::FlowGate;
+use crate::gate::SWEPT_SHARDS;
+use crate::outbox::FlowOutbox;
+use crate::packet::FlowPacket;
+
+/// Time for which a flow that has ended is known, for packets that are still on
+/// their way; the longest pause between two repetitions is 1.6 s.
+const CLOSED_MEMORY: Duration = Duration::from_secs(4);
+
+/// Time that a server has to answer an opening packet; callers give up after 1.4 s.
+const OFFER_MEMORY: Duration = Duration::from_secs(2);
+
+/// Time for which broken flows and flows of other hosts are known.
+const REFUSED_MEMORY: Duration = Duration::from_secs(15);
+
+/// Time after which nobody waits for an answer any more, as the longest time
+/// budget of a request is 10 s.
+const REQUEST_MEMORY: Duration = Duration::from_secs(10);
+
+/// Positions in a stream that an acknowledgement can be ahead of its start. A
+/// flow that is in its handshake has carried much less.
+const ANSWER_WINDOW: u32 = 1 << 24;
+
+/// How far a flow has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum FlowPhase {
+    /// The server has its opening packet.
+    Offered,
+    /// The server was handed a packet to see whether it holds the flow.
+    Asked,
+    /// The server holds it.
+    Open,
+    /// Both ends are done with it, or one has reset it.
+    Closed,
+    /// The server does not hold it.
+    Absent,
+    /// The server held it and has ended or forgotten it.
+    Broken,
+}
+
+/// What a host knows of a flow.
+#[derive(Debug, Clone)]
+pub(super) struct FlowRecord {
+    pub(super) phase: FlowPhase,
+    /// The balancer that it came through last; unspecified if unknown.
+    pub(super) balancer: Ipv4Addr,
+    pub(super) used: MonotonicTime,
+    /// Position in the server's stream that the caller acknowledged last.
+    pub(super) acknowledged: u32,
+    /// Position at which the server's stream starts.
+    pub(super) answer_sequence: Option<u32>,
+    /// When the caller sent the request that waits for its answer.
+    pub(super) asked_at: Option<MonotonicTime>,
+    /// The message with which the first packet came, while it may go elsewhere.
+    pub(super) origin: Option<Box<CarryHeader>>,
+    caller_done: bool,
+    server_done: bool,
+}
+
+impl FlowRecord {
+    /// A flow whose opening packet the server gets.
+    pub(super) fn offered(origin: CarryHeader, now: MonotonicTime) -> Self {
+        Self {
+            phase: FlowPhase::Offered,
+            balancer: origin.balancer,
+            origin: Some(Box::new(origin)),
+            ..Self::learnt(now)
+        }
+    }
+
+    /// A flow that the server may or may not hold.
+    pub(super) fn asked(origin: CarryHeader, now: MonotonicTime) -> Self {
+        Self {
+            phase: FlowPhase::Asked,
+            ..Self::offered(origin, now)
+        }
+    }
+
+    /// A flow that the server holds, as its packets show.
+    pub(super) fn learnt(now: MonotonicTime) -> Self {
+        Self {
+            phase: FlowPhase::Open,
+            balancer: Ipv4Addr::UNSPECIFIED,
+            used: now,
+            acknowledged: 0,
+            answer_sequence: None,
+            asked_at: None,
+            origin: None,
+            caller_done: false,
+            server_done: false,
+        }
+    }
+
+    /// Returns whether a packet of the caller goes on from this server's answer.
+    pub(super) fn is_answer_acknowledged(&self, header: &FlowPacket) -> bool {
+        let Some(start) = self.answer_sequence else {
+            return false;
+        };
+        header.has_ack && header.acknowledged.wrapping_sub(start) < ANSWER_WINDOW
+    }
+
+    /// Notes that the caller sends nothing more.
+    pub(super) fn close_caller(&mut self, is_reset: bool) {
+        self.caller_done = true;
+        self.close_if_done(is_reset);
+    }
+
+    /// Notes that the server sends nothing more.
+    pub(super) fn close_server(&mut self, is_reset: bool) {
+        self.server_done = true;
+        self.close_if_done(is_reset);
+    }
+
+    fn close_if_done(&mut self, is_reset: bool) {
+        let both_done = self.caller_done && self.server_done;
+        if self.phase == FlowPhase::Open && (both_done || is_reset) {
+            self.phase = FlowPhase::Closed;
+        }
+    }
+
+    fn memory(&self, idle: Duration) -> Duration {
+        match self.phase {
+            FlowPhase::Offered => OFFER_MEMORY,
+            FlowPhase::Closed => CLOSED_MEMORY,
+            FlowPhase::Absent | FlowPhase::Broken => REFUSED_MEMORY,
+            FlowPhase::Open | FlowPhase::Asked => idle,
+        }
+    }
+}
+
+impl FlowGate {
+    pub(super) fn set_phase(&mut self, flow: &FlowKey, phase: FlowPhase) {
+        let Some(record) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if record.phase == FlowPhase::Offered {
+            self.load.end_offer();
+        }
+        if record.asked_at.take().is_some() {
+            self.load.drop_request();
+        }
+        record.phase = phase;
+    }
+
+    /// Tells the callers of all open flows that their server has ended.
+    pub(super) fn break_all(&mut self, outbox: &mut FlowOutbox) {
+        for (flow, record) in self.flows.iter_mut() {
+            let was_open = matches!(record.phase, FlowPhase::Open | FlowPhase::Offered);
+            record.asked_at = None;
+            record.phase = FlowPhase::Broken;
+            if was_open {
+                outbox.send_reset(*flow, record.acknowledged);
+                outbox.note(FlowEvent::Broken {
+                    flow: *flow,
+                    reason: BreakReason::ServerEnded,
+                });
+            }
+        }
+        self.load.clear();
+    }
+
+    /// Forgets flows that have ended or that nobody uses.
+    pub(super) fn sweep(&mut self, now: MonotonicTime) {
+        let idle = self.identity.max_flow_age;
+        let load = &mut self.load;
+        self.flows.sweep(SWEPT_SHARDS, |_, record| {
+            let is_abandoned = record
+                .asked_at
+                .is_some_and(|asked| now.since(asked) >= REQUEST_MEMORY);
+            if is_abandoned {
+                record.asked_at = None;
+                load.drop_request();
+            }
+            let keep = now.since(record.used) < record.memory(idle);
+            if !keep && record.phase == FlowPhase::Offered {
+                load.end_offer();
+            }
+            if !keep && record.asked_at.is_some() {
+                load.drop_request();
+            }
+            keep
+        });
+    }
+}
--- /dev/null
+++ b/crates/flows/src/heartbeat.rs
@@ -0,0 +1,74 @@
+//! What a backend server says of itself.
+
+/// One heartbeat of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerHeartbeat {
+    /// Name of this life of the server.
+    pub id: String,
+    /// Start of this life, in milliseconds since the Unix epoch, by its clock.
+    pub born_unix_millis: u64,
+    /// Counts the heartbeats of this life.
+    pub sequence: u64,
+    /// Name of the service.
+    pub service: String,
+    /// Whether the server is leaving.
+    pub is_draining: bool,
+    /// Requests that it works on at the same time.
+    pub slots: u16,
+    /// How much longer it stays slow after its start, in milliseconds.
+    pub cold_millis: u32,
+}
+
+/// What a host does with a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeartbeatVerdict {
+    /// It was newer than what was known.
+    Accepted,
+    /// It tells nothing new, or comes from an earlier life.
+    Outdated,
+}
+
+/// The heartbeats of one server, in order.
+#[derive(Debug, Default)]
+pub struct HeartbeatLog {
+    last: Option<ServerHeartbeat>,
+}
+
+/// How a new heartbeat relates to the one before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeartbeatOrder {
+    /// The first one, or the next of the same life.
+    Next,
+    /// The first one of a new life.
+    NewLife,
+    /// One that was overtaken.
+    Late,
+}
+
+impl HeartbeatLog {
+    /// Returns the newest heartbeat.
+    pub fn last(&self) -> Option<&ServerHeartbeat> {
+        self.last.as_ref()
+    }
+
+    /// Puts a heartbeat in its order, and keeps it unless it is late. A life is
+    /// newer if it was born later; the clock decides nothing else.
+    pub fn record(&mut self, beat: &ServerHeartbeat) -> HeartbeatOrder {
+        let order = match &self.last {
+            None => HeartbeatOrder::Next,
+            Some(last) if last.id == beat.id && last.born_unix_millis == beat.born_unix_millis => {
+                if beat.sequence > last.sequence {
+                    HeartbeatOrder::Next
+                } else {
+                    HeartbeatOrder::Late
+                }
+            }
+            Some(last) if beat.born_unix_millis > last.born_unix_millis => HeartbeatOrder::NewLife,
+            Some(_) => HeartbeatOrder::Late,
+        };
+        if order != HeartbeatOrder::Late {
+            self.last = Some(beat.clone());
+        }
+        order
+    }
+}
--- a/crates/hyssopstaird/src/lib.rs
+++ b/crates/hyssopstaird/src/lib.rs
@@ -6,19 +6,32 @@
 //! configuration. The decisions are in the packages `routing`, `roster` and
 //! `requests`; the modules here connect them with sockets.
 //!
+//! A second way to run, [`carry`], forwards flows that callers and backend servers
+//! end themselves.
+//!
 //! Read [`ops::run`] next: it starts the parts of each role.
 
+#[cfg(feature = "terminate")]
 pub mod admin;
+#[cfg(feature = "terminate")]
 pub mod balancer;
+#[cfg(feature = "carry")]
+pub mod carry;
 pub mod clock;
 pub mod commands;
+#[cfg(feature = "terminate")]
 pub mod control;
+#[cfg(feature = "terminate")]
 pub mod datagram;
 pub mod error;
+#[cfg(feature = "terminate")]
 pub mod host;
 pub mod ops;
+#[cfg(feature = "terminate")]
 pub mod peer;
+#[cfg(feature = "terminate")]
 pub mod secret;
+#[cfg(feature = "terminate")]
 pub mod telemetry;
 
 use std::process::ExitCode;
--- a/crates/hyssopstaird/src/ops/mod.rs
+++ b/crates/hyssopstaird/src/ops/mod.rs
@@ -1,3 +1,6 @@
 //! What the commands do.
 
+#[cfg(feature = "carry")]
+pub mod carry;
+#[cfg(feature = "terminate")]
 pub mod run;
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`settings`] for the settings.
 
 pub(crate) mod builder;
+pub mod carry_settings;
 pub mod drain;
 pub mod edit;
 pub mod error;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 //! messages between two hosts.
 
 pub mod address;
+pub mod carried;
 pub mod control;
 pub mod entry;
 pub mod packet;
