Reset gone flows where their callers accept it, and forget offers without a request

Change: a reset carries the position that the caller acknowledged; all hosts count as known once no new one was met for 0.5 s and none that a peer names is silent. An offer counts for 50 ms, a request for 3 s at most.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -74,7 +74,9 @@
     hello_number: u32,
     next_hello: MonotonicTime,
     first_host: Option<MonotonicTime>,
-    last_loss: Option<MonotonicTime>,
+    last_met_host: Option<MonotonicTime>,
+    /// Hosts that peers named as the owners of flows.
+    told_hosts: Vec<Ipv4Addr>,
     is_stopping: bool,
 }
 
@@ -95,7 +97,8 @@
             hello_number: 0,
             next_hello: now,
             first_host: None,
-            last_loss: None,
+            last_met_host: None,
+            told_hosts: Vec::new(),
             is_stopping: false,
         };
         balancer.add_contacts(&contacts);
@@ -210,7 +213,7 @@
     ) {
         let flow = packet.header.caller_flow();
         let Some(hint) = self.hints.get_mut(&flow) else {
-            self.search(flow, packet.bytes, now, outbox);
+            self.search(packet, now, outbox);
             return;
         };
         hint.used = now;
@@ -248,7 +251,7 @@
         self.hints
             .sweep(SWEPT_SHARDS, |_, hint| now.since(hint.used) < oldest);
         for (peer, silence) in self.members.forget_silent(now) {
-            self.last_loss = Some(now);
+            self.told_hosts.retain(|told| *told != peer);
             outbox.note(FlowEvent::PeerLost {
                 peer,
                 silent_millis: silence.as_millis() as u32,
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -11,6 +11,8 @@
 use hyssopstair_wire::carried::HelloMessage;
 use hyssopstair_wire::carried::HelloRole;
 use hyssopstair_wire::carried::MAX_BATCH;
+use hyssopstair_wire::carried::MAX_PEERS_TOLD;
+use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::balancer::FlowBalancer;
@@ -53,6 +55,9 @@
                 }
             }
             CarryMessage::Flows { owner, flows } => {
+                if let Err(index) = self.told_hosts.binary_search(owner) {
+                    self.told_hosts.insert(index, *owner);
+                }
                 for flow in flows {
                     if self.hints.get(flow).is_none() {
                         self.learn_owner(*flow, *owner, now);
@@ -123,11 +128,15 @@
         match &hello.role {
             HelloRole::Host(host) => {
                 self.first_host.get_or_insert(now);
+                if is_new {
+                    self.last_met_host = Some(now);
+                }
                 if is_new && host.is_relearning {
                     self.tell_flows_of(from, from, outbox);
                 }
-                if host.is_stopping && host.server == hyssopstair_wire::carried::ServerState::Down {
+                if host.is_stopping && host.server == ServerState::Down {
                     self.drop_hints_of(from);
+                    self.told_hosts.retain(|told| *told != from);
                 }
             }
             HelloRole::Balancer(balancer) => {
@@ -179,7 +188,7 @@
             .iter()
             .rev()
             .map(|record| record.peer.address)
-            .take(hyssopstair_wire::carried::MAX_PEERS_TOLD)
+            .take(MAX_PEERS_TOLD)
             .collect();
         HelloMessage {
             started: self.identity.started,
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::carried::ForwardPurpose;
 use hyssopstair_wire::carried::MAX_CANDIDATES;
@@ -11,6 +12,7 @@
 use crate::balancer::FlowBalancer;
 use crate::event::BreakReason;
 use crate::event::FlowEvent;
+use crate::members::HostRecord;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
 use crate::ranking::hash_flow;
@@ -30,9 +32,9 @@
 /// Packets of one flow that a search keeps.
 const MAX_KEPT_PACKETS: usize = 4;
 
-/// Time since the last host was lost after which a flow that no host holds is
-/// certain to be gone.
-const STEADY_TIME: Duration = Duration::from_secs(5);
+/// Time without meeting another host after which all hosts are known: processes
+/// that start together do so within 0.3 s.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// A flow whose host is looked for.
 #[derive(Debug, Clone)]
@@ -52,14 +54,14 @@
 impl FlowBalancer {
     pub(super) fn search(
         &mut self,
-        flow: FlowKey,
-        bytes: &[u8],
+        packet: &RawPacket<'_>,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
+        let flow = packet.header.caller_flow();
         if let Some(search) = self.searches.iter_mut().find(|search| search.flow == flow) {
             if search.packets.len() < MAX_KEPT_PACKETS {
-                search.packets.push(bytes.to_vec());
+                search.packets.push(packet.bytes.to_vec());
             }
             return;
         }
@@ -86,8 +88,8 @@
             round_started: now,
             left: hosts,
             waiting: Vec::new(),
-            packets: vec![bytes.to_vec()],
-            acknowledged: 0,
+            packets: vec![packet.bytes.to_vec()],
+            acknowledged: packet.header.acknowledged,
             is_uncertain: false,
         });
         let index = self.searches.len() - 1;
@@ -110,7 +112,7 @@
             }
             _ => {
                 self.hints.remove(&flow);
-                self.search(flow, packet.bytes, now, outbox);
+                self.search(packet, now, outbox);
             }
         }
     }
@@ -170,7 +172,7 @@
         search.round_started = now;
         let start = search.left.len().saturating_sub(MAX_CANDIDATES);
         let round = search.left.split_off(start);
-        let message = hyssopstair_wire::carried::CarryMessage::Forward(header);
+        let message = CarryMessage::Forward(header);
         for host in &round {
             outbox.send_message(*host, &message, &search.packets[0]);
         }
@@ -198,12 +200,14 @@
     /// Returns whether every host that may hold a flow is known and heard.
     fn is_steady(&self, now: MonotonicTime) -> bool {
         let limits = self.members.limits();
-        let all_heard = self
-            .members
-            .hosts()
+        let is_heard = |record: &HostRecord| now.since(record.peer.heard) < limits.suspect_after;
+        let told_are_heard = self
+            .told_hosts
             .iter()
-            .all(|record| now.since(record.peer.heard) < limits.suspect_after);
-        let since_loss = self.last_loss.unwrap_or(self.created);
-        all_heard && now.since(since_loss) >= STEADY_TIME
+            .all(|told| self.members.host(*told).is_some_and(is_heard));
+        let has_settled = self
+            .last_met_host
+            .is_some_and(|met| now.since(met) >= SETTLE_TIME);
+        has_settled && told_are_heard && self.members.hosts().iter().all(is_heard)
     }
 }
--- a/crates/flows/src/gate/load.rs
+++ b/crates/flows/src/gate/load.rs
@@ -10,11 +10,17 @@
 /// Time over which the mean of requests in progress is taken.
 const MEAN_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time for which a flow that was offered to the server counts as a request to
+/// come: a round trip to the caller takes 6 ms, and a busy machine some more. A
+/// caller that has not asked by then has left.
+const OFFER_COUNTED: Duration = Duration::from_millis(50);
+
 /// The requests of one server.
 #[derive(Debug)]
 pub(super) struct LoadMeter {
     requests: u16,
-    offers: u16,
+    /// When flows were offered that have not asked yet, in order.
+    offers: Vec<MonotonicTime>,
     answer_micros: u32,
     mean: f64,
     measured: MonotonicTime,
@@ -24,7 +30,7 @@
     pub(super) fn new(now: MonotonicTime) -> Self {
         Self {
             requests: 0,
-            offers: 0,
+            offers: Vec::new(),
             answer_micros: 0,
             mean: 0.0,
             measured: now,
@@ -32,8 +38,14 @@
     }
 
     /// Requests that wait for an answer, and flows that will soon ask.
-    pub(super) fn in_progress(&self) -> u16 {
-        self.requests.saturating_add(self.offers)
+    pub(super) fn in_progress(&self, now: MonotonicTime) -> u16 {
+        let recent = self
+            .offers
+            .iter()
+            .rev()
+            .take_while(|offered| now.since(**offered) < OFFER_COUNTED)
+            .count();
+        self.requests.saturating_add(recent as u16)
     }
 
     /// The mean over the last second, in sixteenths.
@@ -46,12 +58,14 @@
         self.answer_micros
     }
 
-    pub(super) fn begin_offer(&mut self) {
-        self.offers = self.offers.saturating_add(1);
+    pub(super) fn begin_offer(&mut self, now: MonotonicTime) {
+        self.offers.push(now);
     }
 
-    pub(super) fn end_offer(&mut self) {
-        self.offers = self.offers.saturating_sub(1);
+    pub(super) fn end_offer(&mut self, offered: MonotonicTime) {
+        if let Ok(index) = self.offers.binary_search(&offered) {
+            self.offers.remove(index);
+        }
     }
 
     pub(super) fn begin_request(&mut self) {
@@ -73,7 +87,7 @@
 
     pub(super) fn clear(&mut self) {
         self.requests = 0;
-        self.offers = 0;
+        self.offers.clear();
         self.answer_micros = 0;
         self.mean = 0.0;
     }
@@ -81,6 +95,8 @@
     pub(super) fn tick(&mut self, now: MonotonicTime) {
         let passed = now.since(self.measured).as_secs_f64() / MEAN_PERIOD.as_secs_f64();
         self.measured = now;
+        self.offers
+            .retain(|offered| now.since(*offered) < OFFER_COUNTED);
         let share = passed.min(1.0);
         self.mean += (f64::from(self.requests) - self.mean) * share;
     }
--- a/crates/flows/src/gate/mod.rs
+++ b/crates/flows/src/gate/mod.rs
@@ -121,9 +121,9 @@
         self.server.state()
     }
 
-    /// Returns the requests that the server works on.
-    pub fn in_progress(&self) -> u16 {
-        self.load.in_progress()
+    /// Returns the requests that the server works on or will soon get.
+    pub fn in_progress(&self, now: MonotonicTime) -> u16 {
+        self.load.in_progress(now)
     }
 
     /// Returns the path of the server's health check, once routes are known.
@@ -236,7 +236,7 @@
         }
         record.balancer = header.balancer;
         if is_search {
-            self.tell_owned(flow, header.balancer, outbox);
+            self.tell_owned(flow, header.balancer, now, outbox);
         }
         self.deliver(&flow, packet, now, outbox);
     }
@@ -299,12 +299,15 @@
         }
         if record.phase == FlowPhase::Offered {
             record.phase = FlowPhase::Open;
-            self.load.end_offer();
+            self.load.end_offer(record.offered);
         }
         if packet.header.data_length > 0 && record.asked_at.is_none() {
             record.asked_at = Some(now);
             self.load.begin_request();
         }
+        if packet.header.is_reset && record.asked_at.take().is_some() {
+            self.load.drop_request();
+        }
         if packet.header.is_finish || packet.header.is_reset {
             record.close_caller(packet.header.is_reset);
         }
@@ -353,7 +356,7 @@
             });
         }
         if let Some(balancer) = owned_by {
-            self.tell_owned(*flow, balancer, outbox);
+            self.tell_owned(*flow, balancer, now, outbox);
         }
     }
 
@@ -391,11 +394,17 @@
         }
     }
 
-    fn tell_owned(&self, flow: FlowKey, balancer: Ipv4Addr, outbox: &mut FlowOutbox) {
+    fn tell_owned(
+        &self,
+        flow: FlowKey,
+        balancer: Ipv4Addr,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
         if balancer.is_unspecified() {
             return;
         }
-        let load = self.report();
+        let load = self.report(now);
         outbox.send_message(balancer, &CarryMessage::Owned { flow, load }, &[]);
     }
 }
--- a/crates/flows/src/gate/opening.rs
+++ b/crates/flows/src/gate/opening.rs
@@ -22,9 +22,9 @@
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
 
-/// Requests for each slot beyond which a server gets no more: those would wait
-/// for three answers before their turn.
-const MAX_REQUESTS_PER_SLOT: u16 = 4;
+/// Requests for each slot beyond which a server gets no more. Servers queue four
+/// for each slot and turn the rest away, which takes a caller longer to learn.
+const MAX_REQUESTS_PER_SLOT: u16 = 5;
 
 /// Slots of a server that has not told how many it has.
 const ASSUMED_SLOTS: u16 = 2;
@@ -53,7 +53,7 @@
             self.deliver(&flow, packet, now, outbox);
             return;
         }
-        let verdict = self.judge(header, &flow);
+        let verdict = self.judge(header, &flow, now);
         let mut onward = header.clone();
         match verdict {
             OpeningVerdict::Take => self.take(header, packet, now, outbox),
@@ -85,8 +85,9 @@
             return;
         }
         let origin = record.origin.take();
+        let offered = record.offered;
         self.flows.remove(&flow);
-        self.load.end_offer();
+        self.load.end_offer(offered);
         if let Some(origin) = origin {
             self.pass_on(*origin, packet, now, outbox);
         }
@@ -103,7 +104,12 @@
             .is_some_and(|record| record.phase == FlowPhase::Offered)
     }
 
-    fn judge(&self, header: &CarryHeader, flow: &FlowKey) -> OpeningVerdict {
+    fn judge(
+        &self,
+        header: &CarryHeader,
+        flow: &FlowKey,
+        now: MonotonicTime,
+    ) -> OpeningVerdict {
         if self.server.state() != ServerState::Ready || self.is_stopping {
             return OpeningVerdict::Refuse;
         }
@@ -118,7 +124,7 @@
                 return OpeningVerdict::Refuse;
             }
         }
-        let requests = self.load.in_progress();
+        let requests = self.load.in_progress(now);
         if requests < self.slots() {
             OpeningVerdict::Take
         } else if requests < self.slots() * MAX_REQUESTS_PER_SLOT {
@@ -140,11 +146,11 @@
         self.set_phase(&flow, FlowPhase::Closed);
         self.flows
             .insert(flow, FlowRecord::offered(header.clone(), now));
-        self.load.begin_offer();
+        self.load.begin_offer(now);
         outbox.note(FlowEvent::Offered {
             flow,
             balancer: header.balancer,
-            in_progress: self.load.in_progress(),
+            in_progress: self.load.in_progress(now),
         });
         self.deliver(&flow, packet, now, outbox);
     }
@@ -156,13 +162,12 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let flow = packet.header.caller_flow();
         if header.next.is_empty() {
             self.end_round(header, packet, now, outbox);
             return;
         }
         let host = header.next.remove(0);
-        self.send_on(host, header, flow, packet, outbox);
+        self.send_on(host, header, packet, now, outbox);
     }
 
     /// No candidate has a free slot: the least busy one takes the flow.
@@ -173,7 +178,6 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let flow = packet.header.caller_flow();
         match header.best {
             Some((host, _)) if host == self.identity.address => {
                 self.take(&header, packet, now, outbox);
@@ -182,7 +186,7 @@
                 header.purpose = ForwardPurpose::OpenHere;
                 // If it has changed its mind, the balancer chooses again.
                 header.best = None;
-                self.send_on(host, header, flow, packet, outbox);
+                self.send_on(host, header, packet, now, outbox);
             }
             None => {
                 let message = CarryMessage::Returned {
@@ -197,15 +201,15 @@
         &self,
         host: Ipv4Addr,
         header: CarryHeader,
-        flow: FlowKey,
         packet: &RawPacket<'_>,
+        now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
         outbox.note(FlowEvent::PassedOn {
-            flow,
+            flow: packet.header.caller_flow(),
             host,
             server: self.server.state(),
-            in_progress: self.load.in_progress(),
+            in_progress: self.load.in_progress(now),
         });
         outbox.send_message(host, &CarryMessage::Forward(header), packet.bytes);
     }
--- a/crates/flows/src/gate/peers.rs
+++ b/crates/flows/src/gate/peers.rs
@@ -102,9 +102,9 @@
     }
 
     /// Returns how busy the server is.
-    pub(super) fn report(&self) -> CarryLoad {
+    pub(super) fn report(&self, now: MonotonicTime) -> CarryLoad {
         CarryLoad {
-            in_progress: self.load.in_progress(),
+            in_progress: self.load.in_progress(now),
             mean_sixteenths: self.load.mean_sixteenths(),
             slots: self.slots(),
             flows: self.flows.len().min(usize::from(u16::MAX)) as u16,
@@ -120,12 +120,12 @@
         self.next_hello = now + self.members.limits().hello_interval;
         self.hello_number += 1;
         for contact in &self.contacts {
-            let hello = self.hello(!self.members.has_balancer(*contact));
+            let hello = self.hello(!self.members.has_balancer(*contact), now);
             outbox.send_message(*contact, &CarryMessage::Hello(hello), &[]);
         }
     }
 
-    fn hello(&self, wants_answer: bool) -> HelloMessage {
+    fn hello(&self, wants_answer: bool, now: MonotonicTime) -> HelloMessage {
         HelloMessage {
             started: self.identity.started,
             number: self.hello_number,
@@ -135,7 +135,7 @@
             role: HelloRole::Host(HostHello {
                 service: self.identity.service.clone(),
                 server: self.server.state(),
-                load: self.report(),
+                load: self.report(now),
                 is_relearning: self.is_relearning,
                 is_stopping: self.is_stopping,
             }),
@@ -160,7 +160,7 @@
             self.add_contacts(&balancer.balancers);
             self.add_contacts(&[from]);
             if outcome == HelloOutcome::Met {
-                let answer = CarryMessage::Hello(self.hello(false));
+                let answer = CarryMessage::Hello(self.hello(false, now));
                 outbox.send_message(from, &answer, &[]);
             }
         }
--- a/crates/flows/src/gate/records.rs
+++ b/crates/flows/src/gate/records.rs
@@ -24,9 +24,9 @@
 /// Time for which broken flows and flows of other hosts are known.
 const REFUSED_MEMORY: Duration = Duration::from_secs(15);
 
-/// Time after which nobody waits for an answer any more, as the longest time
-/// budget of a request is 10 s.
-const REQUEST_MEMORY: Duration = Duration::from_secs(10);
+/// Time after which a request without an answer is not counted any more. The
+/// longest takes 180 ms, and a full queue before a slow server ten times as long.
+const REQUEST_MEMORY: Duration = Duration::from_secs(3);
 
 /// Positions in a stream that an acknowledgement can be ahead of its start. A
 /// flow that is in its handshake has carried much less.
@@ -56,6 +56,8 @@
     /// The balancer that it came through last; unspecified if unknown.
     pub(super) balancer: Ipv4Addr,
     pub(super) used: MonotonicTime,
+    /// When the server got its opening packet.
+    pub(super) offered: MonotonicTime,
     /// Position in the server's stream that the caller acknowledged last.
     pub(super) acknowledged: u32,
     /// Position at which the server's stream starts.
@@ -93,6 +95,7 @@
             phase: FlowPhase::Open,
             balancer: Ipv4Addr::UNSPECIFIED,
             used: now,
+            offered: now,
             acknowledged: 0,
             answer_sequence: None,
             asked_at: None,
@@ -145,7 +148,7 @@
             return;
         };
         if record.phase == FlowPhase::Offered {
-            self.load.end_offer();
+            self.load.end_offer(record.offered);
         }
         if record.asked_at.take().is_some() {
             self.load.drop_request();
@@ -183,9 +186,6 @@
                 load.drop_request();
             }
             let keep = now.since(record.used) < record.memory(idle);
-            if !keep && record.phase == FlowPhase::Offered {
-                load.end_offer();
-            }
             if !keep && record.asked_at.is_some() {
                 load.drop_request();
             }
--- /dev/null
+++ b/crates/flows/tests/search.rs
@@ -0,0 +1,137 @@
+//! A balancer looks for the host of a flow that its table does not name.
+
+mod fixture;
+
+use expect_test::expect;
+use hyssopstair_flows::balancer::FlowBalancer;
+use hyssopstair_flows::outbox::FlowOutbox;
+use hyssopstair_wire::carried::CarryMessage;
+
+use crate::fixture::*;
+
+fn deny(
+    balancer: &mut FlowBalancer,
+    number: u8,
+    is_certain: bool,
+    millis: u64,
+    outbox: &mut FlowOutbox,
+) {
+    let message = CarryMessage::NotHeld {
+        flow: request(4_001).caller_flow(),
+        is_certain,
+    };
+    balancer.receive_peer(host(number), &message, None, &[], at(millis), outbox);
+}
+
+fn balancer_with_hosts(outbox: &mut FlowOutbox) -> FlowBalancer {
+    let mut balancer = balancer();
+    greet(&mut balancer, 1, &host_hello(1, 0), at(10), outbox);
+    greet(&mut balancer, 2, &host_hello(1, 0), at(12), outbox);
+    outbox.clear();
+    balancer
+}
+
+fn keep_heard(balancer: &mut FlowBalancer, until: u64, outbox: &mut FlowOutbox) {
+    for (number, millis) in (250..=until).step_by(250).enumerate() {
+        let hello = host_hello(number as u32 + 2, 0);
+        greet(balancer, 1, &hello, at(millis), outbox);
+        greet(balancer, 2, &hello, at(millis), outbox);
+    }
+    outbox.clear();
+}
+
+#[test]
+fn a_flow_that_every_host_denies_is_reset_where_its_caller_accepts_it() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = balancer_with_hosts(&mut outbox);
+    keep_heard(&mut balancer, 2_000, &mut outbox);
+    balancer.receive_caller(&raw(&request(4_001)), at(2_010), &mut outbox);
+    expect![[r#"
+        Peer(10.0.1.1): forward Search best None next [] + 6 bytes
+        Peer(10.0.1.2): forward Search best None next [] + 6 bytes"#]]
+    .assert_eq(&sorted(&drain(&mut outbox)));
+    deny(&mut balancer, 1, true, 2_011, &mut outbox);
+    deny(&mut balancer, 2, true, 2_011, &mut outbox);
+    // Callers take a reset only near the position that they acknowledged last.
+    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_flow_that_a_host_may_hold_is_left_in_silence() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = balancer_with_hosts(&mut outbox);
+    keep_heard(&mut balancer, 2_000, &mut outbox);
+    balancer.receive_caller(&raw(&request(4_001)), at(2_010), &mut outbox);
+    outbox.clear();
+    deny(&mut balancer, 1, true, 2_011, &mut outbox);
+    deny(&mut balancer, 2, false, 2_011, &mut outbox);
+    expect![""].assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_flow_is_left_in_silence_while_a_host_is_silent() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = balancer_with_hosts(&mut outbox);
+    keep_heard(&mut balancer, 2_000, &mut outbox);
+    // Host 3 was met and went silent.
+    greet(&mut balancer, 3, &host_hello(1, 0), at(500), &mut outbox);
+    balancer.receive_caller(&raw(&request(4_001)), at(2_010), &mut outbox);
+    outbox.clear();
+    for number in 1..=3 {
+        deny(&mut balancer, number, true, 2_011, &mut outbox);
+    }
+    expect![""].assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_flow_is_left_in_silence_while_hosts_are_still_being_met() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = balancer_with_hosts(&mut outbox);
+    balancer.receive_caller(&raw(&request(4_001)), at(100), &mut outbox);
+    outbox.clear();
+    deny(&mut balancer, 1, true, 101, &mut outbox);
+    deny(&mut balancer, 2, true, 101, &mut outbox);
+    expect![""].assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_flow_of_a_host_that_only_a_peer_has_met_is_left_in_silence() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = balancer_with_hosts(&mut outbox);
+    keep_heard(&mut balancer, 2_000, &mut outbox);
+    let told = CarryMessage::Flows {
+        owner: host(9),
+        flows: [request(4_002).caller_flow()].into_iter().collect(),
+    };
+    balancer.receive_peer(balancer_address(2), &told, None, &[], at(2_000), &mut outbox);
+    balancer.receive_caller(&raw(&request(4_001)), at(2_010), &mut outbox);
+    outbox.clear();
+    deny(&mut balancer, 1, true, 2_011, &mut outbox);
+    deny(&mut balancer, 2, true, 2_011, &mut outbox);
+    expect![""].assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn packets_that_came_during_a_search_follow_the_first() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = balancer_with_hosts(&mut outbox);
+    balancer.receive_caller(&raw(&request(4_001)), at(100), &mut outbox);
+    balancer.receive_caller(&raw(&request(4_001)), at(101), &mut outbox);
+    outbox.clear();
+    let owned = CarryMessage::Owned {
+        flow: request(4_001).caller_flow(),
+        load: Default::default(),
+    };
+    balancer.receive_peer(host(2), &owned, None, &[], at(102), &mut outbox);
+    balancer.receive_caller(&raw(&request(4_001)), at(103), &mut outbox);
+    expect![[r#"
+        Peer(10.0.1.2): forward Owner best None next [] + 6 bytes
+        Peer(10.0.1.2): forward Owner best None next [] + 6 bytes"#]]
+    .assert_eq(&drain(&mut outbox));
+}
+
+fn sorted(text: &str) -> String {
+    let mut lines: Vec<&str> = text.lines().collect();
+    lines.sort_unstable();
+    lines.join("\n")
+}
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -349,7 +349,8 @@
         let Some(asked) = self.stop_asked else {
             return false;
         };
-        let age = self.clock.now().since(asked);
+        let now = self.clock.now();
+        let age = now.since(asked);
         let grace = Duration::from_secs_f64(self.settings.grace_seconds);
         if age >= grace.saturating_sub(GRACE_RESERVE) {
             return true;
@@ -357,7 +358,7 @@
         match &self.part {
             CarryPart::Balancer(_) => age >= BALANCER_LINGER,
             CarryPart::Host(gate) => {
-                let is_idle = gate.in_progress() == 0 || gate.server_state() == ServerState::Down;
+                let is_idle = gate.in_progress(now) == 0 || gate.server_state() == ServerState::Down;
                 age >= HOST_PATIENCE || (is_idle && age >= HOST_LINGER)
             }
         }
