Let new flows wait for a host, those that can be in time first

New flows were refused while hosts were still being met, then because repeated requests were counted twice and counted for up to 8 s: ticks came with hellos only, as the next tick was counted from the present time. Searches gave up while a host had no server to ask yet.

Change: ticks are counted from the last one; repeated data is no new request; hosts deny what they asked a server that had not started; searches wait for hosts still to be met; the package gains a queue of new flows (holding.rs).

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -22,6 +22,7 @@
 use crate::balancer::search::PendingSearch;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
+use crate::holding::HoldQueue;
 use crate::members::MemberTable;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
@@ -62,7 +63,6 @@
 #[derive(Debug)]
 pub struct FlowBalancer {
     identity: BalancerIdentity,
-    created: MonotonicTime,
     routes: RouteTable,
     assembly: RouteAssembly,
     routes_asked: MonotonicTime,
@@ -70,6 +70,7 @@
     contacts: Vec<Ipv4Addr>,
     hints: FlowTable<FlowHint>,
     openings: Vec<PendingOpening>,
+    held: HoldQueue,
     searches: Vec<PendingSearch>,
     hello_number: u32,
     next_hello: MonotonicTime,
@@ -78,6 +79,7 @@
     /// Hosts that peers named as the owners of flows.
     told_hosts: Vec<Ipv4Addr>,
     is_stopping: bool,
+    ticked: MonotonicTime,
 }
 
 impl FlowBalancer {
@@ -85,7 +87,6 @@
     pub fn new(identity: BalancerIdentity, contacts: Vec<Ipv4Addr>, now: MonotonicTime) -> Self {
         let mut balancer = Self {
             identity,
-            created: now,
             routes: RouteTable::default(),
             assembly: RouteAssembly::default(),
             routes_asked: MonotonicTime::default(),
@@ -93,6 +94,7 @@
             contacts: Vec::new(),
             hints: FlowTable::default(),
             openings: Vec::new(),
+            held: HoldQueue::default(),
             searches: Vec::new(),
             hello_number: 0,
             next_hello: now,
@@ -100,6 +102,7 @@
             last_met_host: None,
             told_hosts: Vec::new(),
             is_stopping: false,
+            ticked: now,
         };
         balancer.add_contacts(&contacts);
         balancer
@@ -177,17 +180,19 @@
     }
 
     /// Returns when the next tick is due.
-    pub fn next_tick(&self, now: MonotonicTime) -> MonotonicTime {
-        if self.openings.is_empty() && self.searches.is_empty() {
+    pub fn next_tick(&self) -> MonotonicTime {
+        if self.openings.is_empty() && self.searches.is_empty() && self.held.is_empty() {
             self.next_hello
         } else {
-            self.next_hello.min(now + BUSY_TICK)
+            self.next_hello.min(self.ticked + BUSY_TICK)
         }
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        self.ticked = now;
         self.retry_openings(now, outbox);
+        self.tick_held(now, outbox);
         self.continue_searches(now, outbox);
         if now >= self.next_hello {
             self.greet_all(now, outbox);
--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use arrayvec::ArrayVec;
+use hyssopstair_wire::carried::CandidateList;
 use hyssopstair_wire::carried::CarryHeader;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::FlowKey;
@@ -14,6 +15,9 @@
 use crate::event::DropReason;
 use crate::event::FlowEvent;
 use crate::event::RefusalReason;
+use crate::holding::HeldFlow;
+use crate::holding::copy_age;
+use crate::holding::hold_limit;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
 use crate::placing::order_candidates;
@@ -34,21 +38,45 @@
 /// Hosts that one flow was offered to at most.
 const MAX_TRIED: usize = 32;
 
-/// Time after the start during which flows that nothing is known for are left
-/// to the caller's next copy in place of being refused.
-const WARM_UP: Duration = Duration::from_secs(2);
+/// Hosts that a flow was offered to.
+type TriedList = ArrayVec<Ipv4Addr, MAX_TRIED>;
 
-/// A new flow that no host has taken yet.
+/// A new flow that was offered to a host and not taken yet.
 #[derive(Debug, Clone)]
 pub(super) struct PendingOpening {
     flow: FlowKey,
     host: Ipv4Addr,
+    /// The hosts that were asked in this round.
+    round: CandidateList,
+    arrived: MonotonicTime,
+    /// Age of the flow when it arrived.
+    age: Duration,
     sent: MonotonicTime,
     attempt: u8,
-    tried: ArrayVec<Ipv4Addr, MAX_TRIED>,
+    tried: TriedList,
     bytes: Vec<u8>,
 }
 
+/// A flow that is to be offered.
+#[derive(Debug, Clone)]
+struct NewFlow {
+    flow: FlowKey,
+    arrived: MonotonicTime,
+    /// Age of the flow when it arrived.
+    age: Duration,
+    attempt: u8,
+    tried: TriedList,
+    bytes: Vec<u8>,
+}
+
+/// What a flow's route says.
+#[derive(Debug, Clone)]
+struct RouteFacts {
+    service: String,
+    timeout: Duration,
+    priority: u8,
+}
+
 impl FlowBalancer {
     pub(super) fn receive_opening(
         &mut self,
@@ -57,6 +85,9 @@
         outbox: &mut FlowOutbox,
     ) {
         let flow = packet.header.caller_flow();
+        if self.held.contains(&flow) {
+            return;
+        }
         let pending = self.openings.iter().find(|opening| opening.flow == flow);
         if pending.is_some_and(|opening| now.since(opening.sent) < OFFER_PATIENCE) {
             // The first copy is still on its way.
@@ -68,80 +99,52 @@
             self.receive_middle(packet, now, outbox);
             return;
         }
-        let (attempt, tried) = match pending {
-            Some(opening) => (opening.attempt, opening.tried.clone()),
-            None => Default::default(),
+        let new = NewFlow {
+            flow,
+            arrived: pending.map_or(now, |opening| opening.arrived),
+            age: pending.map_or(copy_age(packet.header.acknowledged), |opening| opening.age),
+            attempt: pending.map_or(0, |opening| opening.attempt),
+            tried: pending.map_or_else(Default::default, |opening| opening.tried.clone()),
+            bytes: packet.bytes.to_vec(),
         };
         self.openings.retain(|opening| opening.flow != flow);
-        self.offer(flow, packet.bytes, attempt, tried, now, outbox);
+        self.offer(new, now, outbox);
     }
 
     /// Offers a flow to the best hosts that were not asked before.
-    fn offer(
-        &mut self,
-        flow: FlowKey,
-        bytes: &[u8],
-        attempt: u8,
-        mut tried: ArrayVec<Ipv4Addr, MAX_TRIED>,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
+    fn offer(&mut self, new: NewFlow, now: MonotonicTime, outbox: &mut FlowOutbox) {
         if self.routes.version() == 0 {
             outbox.note(FlowEvent::Dropped {
                 reason: DropReason::NotReady,
             });
             return;
         }
-        let service = self
-            .routes
-            .route(flow.target)
-            .and_then(|route| route.service_of(&flow));
-        let Some(service) = service else {
-            self.refuse(flow, RefusalReason::NoRoute, outbox);
+        let Some(facts) = self.facts(&new.flow) else {
+            self.refuse(new.flow, RefusalReason::NoRoute, outbox);
             return;
         };
-        let limits = self.members.limits();
-        let mut order = order_candidates(
-            self.members.hosts(),
-            service,
-            &self.identity.zone,
-            hash_flow(&flow),
-            &tried,
-            &limits,
-            now,
-        );
-        if order.is_empty() {
-            let reason = if tried.is_empty() {
-                RefusalReason::NoHost
-            } else {
-                RefusalReason::NoCapacity
-            };
-            if reason == RefusalReason::NoHost && now.since(self.created) < WARM_UP {
-                outbox.note(FlowEvent::Dropped {
-                    reason: DropReason::NotReady,
-                });
-            } else {
-                self.refuse(flow, reason, outbox);
-            }
+        let order = self.candidates(&new, &facts, now);
+        let Some((first, next)) = order.split_first() else {
+            self.hold_or_refuse(new, &facts, now, outbox);
             return;
-        }
-        let first = order.remove(0);
-        self.note_placed(flow, first, attempt, now, outbox);
+        };
+        let first = *first;
+        self.note_placed(new.flow, first, new.attempt, now, outbox);
         let header = CarryHeader {
-            next: order,
+            next: next.iter().copied().collect(),
             ..self.header(ForwardPurpose::Open)
         };
-        outbox.send_message(first, &CarryMessage::Forward(header), bytes);
-        if tried.try_push(first).is_err() {
-            tried.clear();
-        }
+        outbox.send_message(first, &CarryMessage::Forward(header), &new.bytes);
         self.openings.push(PendingOpening {
-            flow,
+            flow: new.flow,
             host: first,
+            round: order,
+            arrived: new.arrived,
+            age: new.age,
             sent: now,
-            attempt: attempt + 1,
-            tried,
-            bytes: bytes.to_vec(),
+            attempt: new.attempt + 1,
+            tried: new.tried,
+            bytes: new.bytes,
         });
     }
 
@@ -167,20 +170,22 @@
             if !was_heard {
                 self.members.avoid_host(opening.host, now);
             }
-            let PendingOpening {
-                flow,
-                attempt,
-                tried,
-                bytes,
-                ..
-            } = opening;
-            self.offer(flow, &bytes, attempt, tried, now, outbox);
+            let host = opening.host;
+            self.offer(opening.without(&[host]), now, outbox);
         }
     }
 
-    /// Notes that a host has taken a flow, and returns whether one was waiting.
-    pub(super) fn end_opening(&mut self, flow: &FlowKey) {
+    /// Notes that a host has taken a flow; there may be room for another one.
+    pub(super) fn end_opening(
+        &mut self,
+        flow: &FlowKey,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
         self.openings.retain(|opening| opening.flow != *flow);
+        if !self.held.is_empty() {
+            self.offer_held(flow, now, outbox);
+        }
     }
 
     /// Offers a flow again that all candidates passed on.
@@ -199,43 +204,86 @@
             return;
         };
         let opening = self.openings.swap_remove(index);
-        let mut tried = opening.tried;
-        // The candidates of that round are those that would be chosen now.
-        let asked = self.candidates_of(&flow, &tried, now);
-        for host in asked {
-            if tried.try_push(host).is_err() {
-                break;
-            }
+        let round = opening.round.clone();
+        self.offer(opening.without(&round), now, outbox);
+    }
+
+    /// Offers one waiting flow, and refuses those that waited for too long.
+    pub(super) fn tick_held(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        for held in self.held.take_expired(now) {
+            self.refuse(held.flow, RefusalReason::NoCapacity, outbox);
+        }
+        if let Some(held) = self.held.take_first(now, |_| true) {
+            self.offer(NewFlow::from(held), now, outbox);
         }
-        self.offer(flow, packet.bytes, opening.attempt, tried, now, outbox);
     }
 
-    fn candidates_of(
-        &self,
-        flow: &FlowKey,
-        tried: &[Ipv4Addr],
+    /// Offers the next waiting flow to the address of `taken`.
+    fn offer_held(&mut self, taken: &FlowKey, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let Some(service) = self.facts(taken).map(|facts| facts.service) else {
+            return;
+        };
+        let routes = &self.routes;
+        let next = self.held.take_first(now, |held| {
+            let route = routes.route(held.flow.target);
+            route.and_then(|route| route.service_of(&held.flow)) == Some(service.as_str())
+        });
+        if let Some(held) = next {
+            self.offer(NewFlow::from(held), now, outbox);
+        }
+    }
+
+    fn hold_or_refuse(
+        &mut self,
+        new: NewFlow,
+        facts: &RouteFacts,
         now: MonotonicTime,
-    ) -> Vec<Ipv4Addr> {
-        let service = self
-            .routes
-            .route(flow.target)
-            .and_then(|route| route.service_of(flow));
-        let Some(service) = service else {
-            return Vec::new();
+        outbox: &mut FlowOutbox,
+    ) {
+        let has_settled = self.has_settled(now);
+        let reason = if new.tried.is_empty() {
+            RefusalReason::NoHost
+        } else {
+            RefusalReason::NoCapacity
         };
-        let limits = self.members.limits();
-        let hash = hash_flow(flow);
-        let hosts = self.members.hosts();
+        let until = new.arrived + hold_limit(facts.timeout, has_settled);
+        let is_hopeless = has_settled && reason == RefusalReason::NoHost;
+        if is_hopeless || now >= until {
+            self.refuse(new.flow, reason, outbox);
+            return;
+        }
+        let refused = self.held.push(HeldFlow {
+            flow: new.flow,
+            priority: facts.priority,
+            arrived: new.arrived,
+            age: new.age,
+            until,
+            bytes: new.bytes,
+        });
+        if let Some(held) = refused {
+            self.refuse(held.flow, reason, outbox);
+        }
+    }
+
+    fn facts(&self, flow: &FlowKey) -> Option<RouteFacts> {
+        let route = self.routes.route(flow.target)?;
+        Some(RouteFacts {
+            service: route.service_of(flow)?.to_owned(),
+            timeout: Duration::from_millis(u64::from(route.timeout_millis)),
+            priority: route.priority,
+        })
+    }
+
+    fn candidates(&self, new: &NewFlow, facts: &RouteFacts, now: MonotonicTime) -> CandidateList {
         order_candidates(
-            hosts,
-            service,
+            self.members.hosts(),
+            &facts.service,
             &self.identity.zone,
-            hash,
-            tried,
-            &limits,
+            hash_flow(&new.flow),
+            &new.tried,
+            &self.members.limits(),
             now,
         )
-        .to_vec()
     }
 
     fn refuse(&self, flow: FlowKey, reason: RefusalReason, outbox: &mut FlowOutbox) {
@@ -270,3 +318,36 @@
         });
     }
 }
+
+impl PendingOpening {
+    /// Returns the flow, to be offered to others than `hosts`.
+    fn without(self, hosts: &[Ipv4Addr]) -> NewFlow {
+        let mut tried = self.tried;
+        for host in hosts {
+            if !tried.contains(host) && tried.try_push(*host).is_err() {
+                break;
+            }
+        }
+        NewFlow {
+            flow: self.flow,
+            arrived: self.arrived,
+            age: self.age,
+            attempt: self.attempt,
+            tried,
+            bytes: self.bytes,
+        }
+    }
+}
+
+impl From<HeldFlow> for NewFlow {
+    fn from(held: HeldFlow) -> Self {
+        Self {
+            flow: held.flow,
+            arrived: held.arrived,
+            age: held.age,
+            attempt: 0,
+            tried: TriedList::new(),
+            bytes: held.bytes,
+        }
+    }
+}
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -43,7 +43,7 @@
             CarryMessage::Owned { flow, load } => {
                 self.members.record_load(from, *load, now);
                 self.learn_owner(*flow, from, now);
-                self.end_opening(flow);
+                self.end_opening(flow, now, outbox);
                 self.end_search(flow, from, outbox);
             }
             CarryMessage::NotHeld { flow, is_certain } => {
@@ -130,6 +130,7 @@
                 self.first_host.get_or_insert(now);
                 if is_new {
                     self.last_met_host = Some(now);
+                    self.ask_new_host(from, now, outbox);
                 }
                 if is_new && host.is_relearning {
                     self.tell_flows_of(from, from, outbox);
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -21,9 +21,12 @@
 /// Time that a round of hosts has to answer before the next round is asked.
 const ROUND_PATIENCE: Duration = Duration::from_millis(20);
 
-/// Time after which a search that found nothing may start again. Callers repeat a
-/// packet after 200 ms.
-const SEARCH_MEMORY: Duration = Duration::from_millis(150);
+/// Time that a search goes on while a host may hold the flow and cannot tell, or
+/// is still to be met. Callers repeat a packet after 200, 400 and 800 ms.
+const SEARCH_MEMORY: Duration = Duration::from_millis(800);
+
+/// Time after which a host that has not answered is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
 
 /// Searches at the same time; packets beyond them are left to the caller's
 /// repetition, so that a lost table cannot turn into a flood.
@@ -36,6 +39,13 @@
 /// that start together do so within 0.3 s.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
+/// Time since the first host was met after which flows from before an outage of
+/// everything are certain to be gone.
+const OUTAGE_SETTLE_TIME: Duration = Duration::from_millis(50);
+
+/// Hosts that must all have a new server to show an outage of everything.
+const OUTAGE_HOSTS: usize = 3;
+
 /// A flow whose host is looked for.
 #[derive(Debug, Clone)]
 pub(super) struct PendingSearch {
@@ -147,7 +157,23 @@
         if search.waiting.is_empty() && !search.left.is_empty() {
             self.ask_round(index, now, outbox);
         } else if search.waiting.is_empty() {
-            self.conclude(index, now, outbox);
+            self.conclude_if_steady(index, now, outbox);
+        }
+    }
+
+    /// Asks a host that was met while searches are under way.
+    pub(super) fn ask_new_host(
+        &mut self,
+        host: Ipv4Addr,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        for index in 0..self.searches.len() {
+            let search = &mut self.searches[index];
+            search.waiting.retain(|waiting| *waiting != host);
+            search.left.retain(|left| *left != host);
+            search.left.push(host);
+            self.ask_round(index, now, outbox);
         }
     }
 
@@ -162,6 +188,12 @@
                 });
             } else if now.since(search.round_started) >= ROUND_PATIENCE && !search.left.is_empty() {
                 self.ask_round(index, now, outbox);
+            } else if search.left.is_empty() && search.waiting.is_empty() {
+                self.conclude_if_steady(index, now, outbox);
+            } else if search.left.is_empty() && now.since(search.round_started) >= ASK_AGAIN {
+                let search = &mut self.searches[index];
+                search.left = std::mem::take(&mut search.waiting);
+                self.ask_round(index, now, outbox);
             }
         }
     }
@@ -179,17 +211,13 @@
         search.waiting.extend(round);
     }
 
-    /// Every host has said that it does not hold the flow.
-    fn conclude(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
-        let search = self.searches.swap_remove(index);
-        let is_steady = self.is_steady(now);
-        if search.is_uncertain || !is_steady {
-            outbox.note(FlowEvent::Unowned {
-                flow: search.flow,
-                is_uncertain: true,
-            });
+    /// Ends a search for a flow that every host has denied, unless there may be
+    /// another host.
+    fn conclude_if_steady(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        if self.searches[index].is_uncertain || !self.is_steady(now) {
             return;
         }
+        let search = self.searches.swap_remove(index);
         outbox.send_reset(search.flow, search.acknowledged);
         outbox.note(FlowEvent::Broken {
             flow: search.flow,
@@ -197,6 +225,23 @@
         });
     }
 
+    /// Returns whether no host was met for a while, so that there are no others.
+    pub(super) fn has_settled(&self, now: MonotonicTime) -> bool {
+        if self.is_after_outage() {
+            return self
+                .first_host
+                .is_some_and(|met| now.since(met) >= OUTAGE_SETTLE_TIME);
+        }
+        self.last_met_host
+            .is_some_and(|met| now.since(met) >= SETTLE_TIME)
+    }
+
+    /// Returns whether everything has just started, so that no flow is older.
+    fn is_after_outage(&self) -> bool {
+        let hosts = self.members.hosts();
+        hosts.len() >= OUTAGE_HOSTS && hosts.iter().all(|record| record.is_server_new)
+    }
+
     /// Returns whether every host that may hold a flow is known and heard.
     fn is_steady(&self, now: MonotonicTime) -> bool {
         let limits = self.members.limits();
@@ -205,9 +250,6 @@
             .told_hosts
             .iter()
             .all(|told| self.members.host(*told).is_some_and(is_heard));
-        let has_settled = self
-            .last_met_host
-            .is_some_and(|met| now.since(met) >= SETTLE_TIME);
-        has_settled && told_are_heard && self.members.hosts().iter().all(is_heard)
+        self.has_settled(now) && told_are_heard && self.members.hosts().iter().all(is_heard)
     }
 }
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -80,6 +80,13 @@
         /// Time from the request to the first data of the answer.
         micros: u32,
     },
+    /// A server did not answer a request, and it is not counted any more.
+    Unanswered {
+        /// The flow.
+        flow: FlowKey,
+        /// Time since the request, in milliseconds.
+        waited_millis: u32,
+    },
     /// The state of the server beside a host changed.
     Server {
         /// The state before.
--- a/crates/flows/src/gate/mod.rs
+++ b/crates/flows/src/gate/mod.rs
@@ -75,6 +75,7 @@
     is_stopping: bool,
     hello_number: u32,
     next_hello: MonotonicTime,
+    ticked: MonotonicTime,
 }
 
 impl FlowGate {
@@ -96,6 +97,7 @@
             is_stopping: false,
             hello_number: 0,
             next_hello: now,
+            ticked: now,
         };
         gate.add_contacts(&contacts);
         gate
@@ -183,8 +185,9 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        self.ticked = now;
         self.load.tick(now);
-        self.sweep(now);
+        self.sweep(now, outbox);
         if now >= self.next_hello {
             self.greet_all(now, outbox);
             for (peer, silence) in self.members.forget_silent(now) {
@@ -301,14 +304,15 @@
             record.phase = FlowPhase::Open;
             self.load.end_offer(record.offered);
         }
-        if packet.header.data_length > 0 && record.asked_at.is_none() {
+        if record.hand_new_data(&packet.header) && record.asked_at.is_none() {
             record.asked_at = Some(now);
             self.load.begin_request();
         }
-        if packet.header.is_reset && record.asked_at.take().is_some() {
-            self.load.drop_request();
-        }
         if packet.header.is_finish || packet.header.is_reset {
+            // A caller that leaves does not wait for its answer.
+            if record.asked_at.take().is_some() {
+                self.load.drop_request();
+            }
             record.close_caller(packet.header.is_reset);
         }
     }
--- a/crates/flows/src/gate/opening.rs
+++ b/crates/flows/src/gate/opening.rs
@@ -22,9 +22,10 @@
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
 
-/// Requests for each slot beyond which a server gets no more. Servers queue four
-/// for each slot and turn the rest away, which takes a caller longer to learn.
-const MAX_REQUESTS_PER_SLOT: u16 = 5;
+/// Requests for each slot beyond which a server gets no more: the last one then
+/// waits for two answers, which is the larger part of its target. More wait better
+/// at the balancers, which know the age of each.
+const MAX_REQUESTS_PER_SLOT: u16 = 3;
 
 /// Slots of a server that has not told how many it has.
 const ASSUMED_SLOTS: u16 = 2;
--- a/crates/flows/src/gate/peers.rs
+++ b/crates/flows/src/gate/peers.rs
@@ -97,8 +97,8 @@
     }
 
     /// Returns when the next tick is due.
-    pub fn next_tick(&self, now: MonotonicTime) -> MonotonicTime {
-        self.next_hello.min(now + GATE_TICK)
+    pub fn next_tick(&self) -> MonotonicTime {
+        self.next_hello.min(self.ticked + GATE_TICK)
     }
 
     /// Returns how busy the server is.
@@ -137,6 +137,7 @@
                 server: self.server.state(),
                 load: self.report(now),
                 is_relearning: self.is_relearning,
+                is_server_new: self.server.is_new(now),
                 is_stopping: self.is_stopping,
             }),
         }
--- a/crates/flows/src/gate/records.rs
+++ b/crates/flows/src/gate/records.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyssopstair_wire::carried::CarryHeader;
+use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::time::MonotonicTime;
 
@@ -26,7 +27,7 @@
 
 /// Time after which a request without an answer is not counted any more. The
 /// longest takes 180 ms, and a full queue before a slow server ten times as long.
-const REQUEST_MEMORY: Duration = Duration::from_secs(3);
+const REQUEST_MEMORY: Duration = Duration::from_secs(2);
 
 /// Positions in a stream that an acknowledgement can be ahead of its start. A
 /// flow that is in its handshake has carried much less.
@@ -62,6 +63,8 @@
     pub(super) acknowledged: u32,
     /// Position at which the server's stream starts.
     pub(super) answer_sequence: Option<u32>,
+    /// Position in the caller's stream up to which the server was handed data.
+    pub(super) handed_to: Option<u32>,
     /// When the caller sent the request that waits for its answer.
     pub(super) asked_at: Option<MonotonicTime>,
     /// The message with which the first packet came, while it may go elsewhere.
@@ -98,6 +101,7 @@
             offered: now,
             acknowledged: 0,
             answer_sequence: None,
+            handed_to: None,
             asked_at: None,
             origin: None,
             caller_done: false,
@@ -113,6 +117,20 @@
         header.has_ack && header.acknowledged.wrapping_sub(start) < ANSWER_WINDOW
     }
 
+    /// Returns whether the packet has data that the server was not handed before,
+    /// and notes it as handed over.
+    pub(super) fn hand_new_data(&mut self, header: &FlowPacket) -> bool {
+        let end = header.sequence.wrapping_add(u32::from(header.data_length));
+        // The difference as a signed number orders positions across the wrap.
+        let is_new = self
+            .handed_to
+            .is_none_or(|handed| end.wrapping_sub(handed) as i32 > 0);
+        if is_new {
+            self.handed_to = Some(end);
+        }
+        is_new && header.data_length > 0
+    }
+
     /// Notes that the caller sends nothing more.
     pub(super) fn close_caller(&mut self, is_reset: bool) {
         self.caller_done = true;
@@ -156,12 +174,34 @@
         record.phase = phase;
     }
 
+    /// Tells balancers that the server holds none of the flows that it was asked
+    /// about, as it has started since.
+    pub(super) fn deny_asked(&mut self, outbox: &mut FlowOutbox) {
+        for (flow, record) in self.flows.iter_mut() {
+            if record.phase != FlowPhase::Asked {
+                continue;
+            }
+            record.phase = FlowPhase::Absent;
+            if record.asked_at.take().is_some() {
+                self.load.drop_request();
+            }
+            let message = CarryMessage::NotHeld {
+                flow: *flow,
+                is_certain: true,
+            };
+            outbox.send_message(record.balancer, &message, &[]);
+        }
+    }
+
     /// Tells the callers of all open flows that their server has ended.
     pub(super) fn break_all(&mut self, outbox: &mut FlowOutbox) {
+        self.deny_asked(outbox);
         for (flow, record) in self.flows.iter_mut() {
             let was_open = matches!(record.phase, FlowPhase::Open | FlowPhase::Offered);
             record.asked_at = None;
-            record.phase = FlowPhase::Broken;
+            if record.phase != FlowPhase::Absent {
+                record.phase = FlowPhase::Broken;
+            }
             if was_open {
                 outbox.send_reset(*flow, record.acknowledged);
                 outbox.note(FlowEvent::Broken {
@@ -174,16 +214,18 @@
     }
 
     /// Forgets flows that have ended or that nobody uses.
-    pub(super) fn sweep(&mut self, now: MonotonicTime) {
+    pub(super) fn sweep(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         let idle = self.identity.max_flow_age;
         let load = &mut self.load;
-        self.flows.sweep(SWEPT_SHARDS, |_, record| {
-            let is_abandoned = record
-                .asked_at
-                .is_some_and(|asked| now.since(asked) >= REQUEST_MEMORY);
-            if is_abandoned {
+        self.flows.sweep(SWEPT_SHARDS, |flow, record| {
+            let waited = record.asked_at.map(|asked| now.since(asked));
+            if let Some(waited) = waited.filter(|waited| *waited >= REQUEST_MEMORY) {
                 record.asked_at = None;
                 load.drop_request();
+                outbox.note(FlowEvent::Unanswered {
+                    flow: *flow,
+                    waited_millis: waited.as_millis() as u32,
+                });
             }
             let keep = now.since(record.used) < record.memory(idle);
             if !keep && record.asked_at.is_some() {
--- a/crates/flows/src/gate/server.rs
+++ b/crates/flows/src/gate/server.rs
@@ -22,6 +22,10 @@
 /// Time between two attempts to connect.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Age up to which a server counts as new: servers that an outage has ended all
+/// start within a second.
+const NEW_SERVER_AGE: Duration = Duration::from_secs(3);
+
 /// What an attempt to reach the server showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CheckResult {
@@ -54,6 +58,8 @@
     heard: MonotonicTime,
     delivered: Option<MonotonicTime>,
     checked: Option<MonotonicTime>,
+    /// When the server started, if the host was there.
+    started: Option<MonotonicTime>,
 }
 
 impl ServerWatch {
@@ -64,6 +70,7 @@
             heard: now,
             delivered: None,
             checked: None,
+            started: None,
         }
     }
 
@@ -84,6 +91,11 @@
         self.delivered.get_or_insert(now);
     }
 
+    pub(super) fn is_new(&self, now: MonotonicTime) -> bool {
+        self.started
+            .is_some_and(|started| now.since(started) < NEW_SERVER_AGE)
+    }
+
     fn is_suspicious(&self, now: MonotonicTime) -> bool {
         self.delivered
             .is_some_and(|delivered| now.since(delivered) >= SUSPICIOUS_SILENCE)
@@ -105,10 +117,13 @@
             HeartbeatOrder::NewLife => {
                 self.break_all(outbox);
                 self.is_relearning = false;
+                self.server.started = Some(now);
             }
             HeartbeatOrder::Next if is_first && beat.sequence <= 1 => {
                 // The server has just started, so there is nothing to learn.
                 self.is_relearning = false;
+                self.deny_asked(outbox);
+                self.server.started = Some(now);
             }
             HeartbeatOrder::Next => {}
         }
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event;
 pub mod gate;
 pub mod heartbeat;
+pub mod holding;
 pub mod members;
 pub mod outbox;
 pub mod packet;
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -66,6 +66,8 @@
     pub avoided_until: MonotonicTime,
     /// Whether it may hold flows that it does not know.
     pub is_relearning: bool,
+    /// Whether its server has started a short while ago.
+    pub is_server_new: bool,
     /// Whether the process is about to stop.
     pub is_stopping: bool,
 }
@@ -268,6 +270,7 @@
             sent_since: 0,
             avoided_until: MonotonicTime::default(),
             is_relearning: hello.is_relearning,
+            is_server_new: hello.is_server_new,
             is_stopping: hello.is_stopping,
             peer,
         };
--- a/crates/flows/tests/gate_load.rs
+++ b/crates/flows/tests/gate_load.rs
@@ -20,7 +20,7 @@
 fn flows_that_never_ask_stop_counting_soon() {
     let mut outbox = FlowOutbox::default();
     let mut gate = ready_gate(1);
-    for port in 4_001..4_009 {
+    for port in 4_001..4_007 {
         offer(&mut gate, port, 100, &mut outbox);
     }
     let mut counts = Vec::new();
@@ -28,8 +28,8 @@
         counts.push(format!("{millis} ms: {}", gate.in_progress(at(millis))));
     }
     expect![[r#"
-        100 ms: 8
-        140 ms: 8
+        100 ms: 6
+        140 ms: 6
         200 ms: 0
         400 ms: 0"#]]
     .assert_eq(&counts.join("\n"));
@@ -63,3 +63,20 @@
         after 5 s: 0"#]]
     .assert_eq(&counts.join("\n"));
 }
+
+#[test]
+fn a_request_that_is_repeated_after_its_answer_is_not_counted_again() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = ready_gate(1);
+    let owner = header(ForwardPurpose::Owner);
+    offer(&mut gate, 4_001, 100, &mut outbox);
+    gate.receive_forwarded(&owner, &raw(&request(4_001)), at(106), &mut outbox);
+    gate.receive_server(&raw(&answer(4_001)), at(305), &mut outbox);
+    gate.receive_forwarded(&owner, &raw(&request(4_001)), at(306), &mut outbox);
+    let repeated = gate.in_progress(at(400));
+    let mut second = request(4_001);
+    second.sequence += 80;
+    gate.receive_forwarded(&owner, &raw(&second), at(410), &mut outbox);
+    let next = gate.in_progress(at(410));
+    expect!["repeated: 0, the next one: 1"].assert_eq(&format!("repeated: {repeated}, the next one: {next}"));
+}
--- /dev/null
+++ b/crates/flows/tests/gate_restart.rs
@@ -0,0 +1,110 @@
+//! A host that was started beside a server, and servers that start anew.
+
+mod fixture;
+
+use expect_test::expect;
+use hyssopstair_flows::outbox::FlowOutbox;
+use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::ForwardPurpose;
+
+use crate::fixture::*;
+
+#[test]
+fn a_host_asks_a_server_that_was_running_whether_it_holds_a_flow() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = gate(1);
+    gate.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    outbox.clear();
+    let search = header(ForwardPurpose::Search);
+    gate.receive_forwarded(&search, &raw(&request(4_001)), at(20), &mut outbox);
+    expect!["Server: packet"].assert_eq(&drain(&mut outbox));
+    gate.receive_server(&raw(&answer(4_001)), at(40), &mut outbox);
+    expect![[r#"
+        Caller(100.64.0.7): packet
+        Peer(10.0.2.1): Owned { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, load: CarryLoad { in_progress: 0, mean_sixteenths: 0, slots: 2, flows: 1, answer_micros: 20000 } } + 0 bytes"#]]
+    .assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_host_denies_a_flow_that_its_server_hands_back() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = gate(1);
+    gate.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    outbox.clear();
+    let search = header(ForwardPurpose::Search);
+    gate.receive_forwarded(&search, &raw(&request(4_001)), at(20), &mut outbox);
+    outbox.clear();
+    let mut bounced = request(4_001);
+    bounced.is_bounced = true;
+    gate.receive_server(&raw(&bounced), at(21), &mut outbox);
+    gate.receive_forwarded(&search, &raw(&request(4_001)), at(220), &mut outbox);
+    expect![[r#"
+        Peer(10.0.2.1): NotHeld { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, is_certain: true } + 0 bytes
+        Peer(10.0.2.1): NotHeld { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, is_certain: true } + 0 bytes"#]]
+    .assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_host_denies_what_it_asked_a_server_that_had_not_started_yet() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = gate(1);
+    let search = header(ForwardPurpose::Search);
+    gate.receive_forwarded(&search, &raw(&request(4_001)), at(20), &mut outbox);
+    outbox.clear();
+    gate.receive_heartbeat(&heartbeat(0), at(50), &mut outbox);
+    expect!["Peer(10.0.2.1): NotHeld { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, is_certain: true } + 0 bytes"]
+        .assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_restarted_host_takes_over_the_flows_that_balancers_know() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = gate(1);
+    gate.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    let told = CarryMessage::Flows {
+        owner: host(1),
+        flows: [request(4_001).caller_flow()].into_iter().collect(),
+    };
+    gate.receive_peer(balancer_address(1), &told, None, &[], at(12), &mut outbox);
+    outbox.clear();
+    let owner = header(ForwardPurpose::Owner);
+    gate.receive_forwarded(&owner, &raw(&request(4_001)), at(20), &mut outbox);
+    expect!["Server: packet"].assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_new_life_of_the_server_ends_its_flows() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = ready_gate(1);
+    let open = header(ForwardPurpose::Open);
+    gate.receive_forwarded(&open, &raw(&opening(4_001)), at(20), &mut outbox);
+    gate.receive_server(&raw(&opened(4_001)), at(21), &mut outbox);
+    let owner = header(ForwardPurpose::Owner);
+    gate.receive_forwarded(&owner, &raw(&request(4_001)), at(27), &mut outbox);
+    outbox.clear();
+    let mut reborn = heartbeat(1);
+    reborn.born_unix_millis = 9_000;
+    gate.receive_heartbeat(&reborn, at(500), &mut outbox);
+    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&drain(&mut outbox));
+    // A late heartbeat of the earlier life changes nothing.
+    gate.receive_heartbeat(&heartbeat(7), at(600), &mut outbox);
+    gate.receive_forwarded(&owner, &raw(&request(4_001)), at(700), &mut outbox);
+    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn no_flow_opens_after_the_server_has_said_that_it_leaves() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = ready_gate(1);
+    let mut leaving = heartbeat(2);
+    leaving.is_draining = true;
+    gate.receive_heartbeat(&leaving, at(500), &mut outbox);
+    outbox.clear();
+    for purpose in [ForwardPurpose::Open, ForwardPurpose::OpenHere] {
+        gate.receive_forwarded(&header(purpose), &raw(&opening(4_001)), at(501), &mut outbox);
+    }
+    expect![[r#"
+        Peer(10.0.2.1): Returned { purpose: Open } + 6 bytes
+        Peer(10.0.2.1): Returned { purpose: OpenHere } + 6 bytes"#]]
+    .assert_eq(&drain(&mut outbox));
+}
--- a/crates/flows/tests/search.rs
+++ b/crates/flows/tests/search.rs
@@ -6,6 +6,7 @@
 use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::HelloRole;
 
 use crate::fixture::*;
 
@@ -94,6 +95,27 @@
     expect![""].assert_eq(&drain(&mut outbox));
 }
 
+#[test]
+fn a_flow_from_before_an_outage_of_everything_is_reset_at_once() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = balancer();
+    for number in 1..=3 {
+        let CarryMessage::Hello(mut hello) = host_hello(1, 0) else {
+            panic!("the fixture made another message");
+        };
+        if let HelloRole::Host(host) = &mut hello.role {
+            host.is_server_new = true;
+        }
+        greet(&mut balancer, number, &CarryMessage::Hello(hello), at(10), &mut outbox);
+    }
+    balancer.receive_caller(&raw(&request(4_001)), at(70), &mut outbox);
+    outbox.clear();
+    for number in 1..=3 {
+        deny(&mut balancer, number, true, 71, &mut outbox);
+    }
+    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&drain(&mut outbox));
+}
+
 #[test]
 fn a_flow_of_a_host_that_only_a_peer_has_met_is_left_in_silence() {
     let mut outbox = FlowOutbox::default();
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -159,6 +159,7 @@
         FlowEvent::PeerLost { .. } => 11,
         FlowEvent::Routes { .. } => 12,
         FlowEvent::Dropped { .. } => 13,
+        FlowEvent::Unanswered { .. } => 14,
     }
 }
 
@@ -230,6 +231,14 @@
             "the server answered",
             json!({ "flow": name(flow), "took_us": micros }),
         ),
+        FlowEvent::Unanswered {
+            flow,
+            waited_millis,
+        } => (
+            "host",
+            "the server did not answer a request",
+            json!({ "flow": name(flow), "waited_ms": waited_millis }),
+        ),
         FlowEvent::Server {
             before,
             state,
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -61,10 +61,10 @@
     }
 
     /// Returns when the next tick is due.
-    pub fn next_tick(&self, now: MonotonicTime) -> MonotonicTime {
+    pub fn next_tick(&self) -> MonotonicTime {
         match self {
-            Self::Balancer(balancer) => balancer.next_tick(now),
-            Self::Host(gate) => gate.next_tick(now),
+            Self::Balancer(balancer) => balancer.next_tick(),
+            Self::Host(gate) => gate.next_tick(),
         }
     }
 
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -177,7 +177,7 @@
 
     async fn wait(&mut self, terminate: &mut Signal, reload: &mut Signal) {
         let now = self.clock.now();
-        let pause = self.part.next_tick(now).since(now);
+        let pause = self.part.next_tick().since(now);
         tokio::select! {
             () = self.inner.readable() => {}
             () = self.outer.readable() => {}
@@ -238,7 +238,7 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
-        if now >= self.part.next_tick(now) {
+        if now >= self.part.next_tick() {
             self.part.tick(now, &mut self.outbox);
         }
         self.check_server(now);
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -78,6 +78,8 @@
     pub load: CarryLoad,
     /// Whether it has lost the table of flows that its server holds.
     pub is_relearning: bool,
+    /// Whether the server has started a short while ago.
+    pub is_server_new: bool,
     /// Whether the process is about to stop.
     pub is_stopping: bool,
 }
