Make servers answer searches two at a time, after hosts that know

Cause: a search handed its packet at once to every server beside a host that had lost its table.

Change: hosts that cannot tell say so, and are made to ask their servers only after all that know have denied, two at a time.

Ruled out: that the owner was not asked; every trace shows its answer.

--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -100,7 +100,7 @@
                 self.hints.remove(&packet.header.caller_flow());
                 self.receive_opening(packet, now, outbox);
             }
-            ForwardPurpose::Owner | ForwardPurpose::Search => {
+            ForwardPurpose::Owner | ForwardPurpose::Search | ForwardPurpose::Probe => {
                 self.search_again(packet, from, now, outbox);
             }
         }
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -1,4 +1,10 @@
 //! Looks for the host of a flow that the table does not name.
+//!
+//! First all hosts of the service are asked, in rounds, the most likely ones
+//! first; one that knows the flow takes the packet. Hosts that have lost their
+//! table cannot tell, and are then made to ask their servers, two at a time: each
+//! hands the packet to a server that may not be the right one, and a flow bears
+//! few of these.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -18,16 +24,16 @@
 use crate::ranking::hash_flow;
 use crate::ranking::rank_hosts;
 
-/// Time that a round of hosts has to answer before the next round is asked.
+/// Time that hosts have to answer before others are asked as well.
 const ROUND_PATIENCE: Duration = Duration::from_millis(20);
 
+/// Time after which a host that has not answered is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+
 /// Time that a search goes on while a host may hold the flow and cannot tell, or
 /// is still to be met. Callers repeat a packet after 200, 400 and 800 ms.
 const SEARCH_MEMORY: Duration = Duration::from_millis(800);
 
-/// Time after which a host that has not answered is asked again.
-const ASK_AGAIN: Duration = Duration::from_millis(100);
-
 /// Searches at the same time; packets beyond them are left to the caller's
 /// repetition, so that a lost table cannot turn into a flood.
 const MAX_SEARCHES: usize = 512;
@@ -35,6 +41,9 @@
 /// Packets of one flow that a search keeps.
 const MAX_KEPT_PACKETS: usize = 4;
 
+/// Servers that are handed the packet of a search at the same time.
+const MAX_PROBES: usize = 2;
+
 /// Time without meeting another host after which all hosts are known: processes
 /// that start together do so within 0.3 s.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
@@ -51,14 +60,39 @@
 pub(super) struct PendingSearch {
     flow: FlowKey,
     started: MonotonicTime,
-    round_started: MonotonicTime,
-    /// The hosts that are not asked yet, the most likely last.
+    /// When somebody was asked last.
+    asked: MonotonicTime,
+    /// Hosts that are not asked yet, the most likely last.
     left: Vec<Ipv4Addr>,
-    /// The hosts that were asked and have not answered.
+    /// Hosts that were asked and have not answered.
     waiting: Vec<Ipv4Addr>,
+    /// Hosts that cannot tell without their server.
+    doubtful: Vec<Ipv4Addr>,
+    /// Hosts whose server was handed the packet and has not shown what it knows.
+    probing: Vec<Ipv4Addr>,
     packets: Vec<Vec<u8>>,
     acknowledged: u32,
-    is_uncertain: bool,
+}
+
+impl PendingSearch {
+    fn forget(&mut self, host: Ipv4Addr) {
+        for list in [
+            &mut self.left,
+            &mut self.waiting,
+            &mut self.doubtful,
+            &mut self.probing,
+        ] {
+            list.retain(|listed| *listed != host);
+        }
+    }
+
+    /// Returns whether every host has said that it does not hold the flow.
+    fn is_denied(&self) -> bool {
+        self.left.is_empty()
+            && self.waiting.is_empty()
+            && self.doubtful.is_empty()
+            && self.probing.is_empty()
+    }
 }
 
 impl FlowBalancer {
@@ -78,32 +112,22 @@
         if self.searches.len() >= MAX_SEARCHES {
             return;
         }
-        let service = self
-            .routes
-            .route(flow.target)
-            .and_then(|route| route.service_of(&flow));
-        let mut hosts: Vec<Ipv4Addr> = self
-            .members
-            .hosts()
-            .iter()
-            .filter(|record| service.is_none_or(|service| record.service == service))
-            .map(|record| record.peer.address)
-            .collect();
-        rank_hosts(hash_flow(&flow), &mut hosts);
-        hosts.reverse();
-        outbox.note(FlowEvent::Searching { flow, skipped: 0 });
+        outbox.note(FlowEvent::Searching {
+            flow,
+            hosts: self.members.hosts().len() as u16,
+        });
         self.searches.push(PendingSearch {
             flow,
             started: now,
-            round_started: now,
-            left: hosts,
+            asked: now,
+            left: self.likely_hosts(&flow),
             waiting: Vec::new(),
+            doubtful: Vec::new(),
+            probing: Vec::new(),
             packets: vec![packet.bytes.to_vec()],
             acknowledged: packet.header.acknowledged,
-            is_uncertain: false,
         });
-        let index = self.searches.len() - 1;
-        self.ask_round(index, now, outbox);
+        self.ask_next(self.searches.len() - 1, now, outbox);
     }
 
     /// Sends a returned packet on to all hosts that may hold its flow.
@@ -129,7 +153,7 @@
 
     /// Ends a search that found the host.
     pub(super) fn end_search(&mut self, flow: &FlowKey, owner: Ipv4Addr, outbox: &mut FlowOutbox) {
-        let Some(index) = self.searches.iter().position(|search| search.flow == *flow) else {
+        let Some(index) = self.find_search(flow) else {
             return;
         };
         let search = self.searches.swap_remove(index);
@@ -139,7 +163,7 @@
         }
     }
 
-    /// Notes that a host does not hold a flow.
+    /// Notes that a host does not hold a flow, or cannot tell.
     pub(super) fn note_not_held(
         &mut self,
         flow: &FlowKey,
@@ -148,17 +172,18 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let Some(index) = self.searches.iter().position(|search| search.flow == *flow) else {
+        let Some(index) = self.find_search(flow) else {
             return;
         };
         let search = &mut self.searches[index];
-        search.waiting.retain(|waiting| *waiting != host);
-        search.is_uncertain |= !is_certain;
-        if search.waiting.is_empty() && !search.left.is_empty() {
-            self.ask_round(index, now, outbox);
-        } else if search.waiting.is_empty() {
-            self.conclude_if_steady(index, now, outbox);
+        search.forget(host);
+        if !is_certain {
+            search.doubtful.push(host);
+        }
+        if search.waiting.is_empty() {
+            self.ask_next(index, now, outbox);
         }
+        self.conclude_if_denied(index, now, outbox);
     }
 
     /// Asks a host that was met while searches are under way.
@@ -170,51 +195,86 @@
     ) {
         for index in 0..self.searches.len() {
             let search = &mut self.searches[index];
-            search.waiting.retain(|waiting| *waiting != host);
-            search.left.retain(|left| *left != host);
+            search.forget(host);
             search.left.push(host);
-            self.ask_round(index, now, outbox);
+            self.ask_next(index, now, outbox);
         }
     }
 
     pub(super) fn continue_searches(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         for index in (0..self.searches.len()).rev() {
-            let search = &self.searches[index];
+            let search = &mut self.searches[index];
             if now.since(search.started) >= SEARCH_MEMORY {
                 let search = self.searches.swap_remove(index);
                 outbox.note(FlowEvent::Unowned {
                     flow: search.flow,
-                    is_uncertain: true,
+                    undecided: (search.waiting.len() + search.probing.len()) as u16,
                 });
-            } else if now.since(search.round_started) >= ROUND_PATIENCE && !search.left.is_empty() {
-                self.ask_round(index, now, outbox);
-            } else if search.left.is_empty() && search.waiting.is_empty() {
-                self.conclude_if_steady(index, now, outbox);
-            } else if search.left.is_empty() && now.since(search.round_started) >= ASK_AGAIN {
-                let search = &mut self.searches[index];
-                search.left = std::mem::take(&mut search.waiting);
-                self.ask_round(index, now, outbox);
+                continue;
+            }
+            if now.since(search.asked) >= ASK_AGAIN {
+                let waiting = std::mem::take(&mut search.waiting);
+                search.left.extend(waiting);
+            }
+            if now.since(search.asked) >= ROUND_PATIENCE {
+                self.ask_next(index, now, outbox);
             }
+            self.conclude_if_denied(index, now, outbox);
         }
     }
 
-    fn ask_round(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
-        let header = self.header(ForwardPurpose::Search);
+    fn find_search(&self, flow: &FlowKey) -> Option<usize> {
+        self.searches.iter().position(|search| search.flow == *flow)
+    }
+
+    /// Returns the hosts of a flow's service, the most likely last.
+    fn likely_hosts(&self, flow: &FlowKey) -> Vec<Ipv4Addr> {
+        let service = self
+            .routes
+            .route(flow.target)
+            .and_then(|route| route.service_of(flow));
+        let mut hosts: Vec<Ipv4Addr> = self
+            .members
+            .hosts()
+            .iter()
+            // A flow may outlive its route.
+            .filter(|record| service.is_none_or(|service| record.service == service))
+            .map(|record| record.peer.address)
+            .collect();
+        rank_hosts(hash_flow(flow), &mut hosts);
+        hosts.reverse();
+        hosts
+    }
+
+    /// Asks the next round of hosts, or makes doubtful ones ask their servers.
+    fn ask_next(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let search_header = self.header(ForwardPurpose::Search);
+        let probe_header = self.header(ForwardPurpose::Probe);
         let search = &mut self.searches[index];
-        search.round_started = now;
         let start = search.left.len().saturating_sub(MAX_CANDIDATES);
         let round = search.left.split_off(start);
-        let message = CarryMessage::Forward(header);
-        for host in &round {
-            outbox.send_message(*host, &message, &search.packets[0]);
+        if !round.is_empty() {
+            search.asked = now;
+            let message = CarryMessage::Forward(search_header);
+            for host in &round {
+                outbox.send_message(*host, &message, &search.packets[0]);
+            }
+            search.waiting.extend(round);
+            return;
+        }
+        let message = CarryMessage::Forward(probe_header);
+        while search.probing.len() < MAX_PROBES && !search.doubtful.is_empty() {
+            let host = search.doubtful.remove(0);
+            search.asked = now;
+            outbox.send_message(host, &message, &search.packets[0]);
+            search.probing.push(host);
         }
-        search.waiting.extend(round);
     }
 
     /// Ends a search for a flow that every host has denied, unless there may be
     /// another host.
-    fn conclude_if_steady(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
-        if self.searches[index].is_uncertain || !self.is_steady(now) {
+    fn conclude_if_denied(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        if !self.searches[index].is_denied() || !self.is_steady(now) {
             return;
         }
         let search = self.searches.swap_remove(index);
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -63,15 +63,15 @@
     Searching {
         /// The flow.
         flow: FlowKey,
-        /// Hosts asked before.
-        skipped: u16,
+        /// Hosts that are known.
+        hosts: u16,
     },
     /// No host was found for a packet, and the packet was dropped.
     Unowned {
         /// The flow.
         flow: FlowKey,
-        /// Whether a host that may hold it could not tell.
-        is_uncertain: bool,
+        /// Hosts that did not answer.
+        undecided: u16,
     },
     /// A host measured how long its server took to answer.
     Answered {
--- a/crates/flows/src/gate/mod.rs
+++ b/crates/flows/src/gate/mod.rs
@@ -159,7 +159,7 @@
             ForwardPurpose::Open | ForwardPurpose::OpenHere => {
                 self.receive_opening(header, packet, now, outbox);
             }
-            ForwardPurpose::Owner | ForwardPurpose::Search => {
+            ForwardPurpose::Owner | ForwardPurpose::Search | ForwardPurpose::Probe => {
                 self.receive_middle(header, packet, now, outbox);
             }
         }
@@ -216,7 +216,7 @@
         outbox: &mut FlowOutbox,
     ) {
         let flow = packet.header.caller_flow();
-        let is_search = header.purpose == ForwardPurpose::Search;
+        let is_search = header.purpose != ForwardPurpose::Owner;
         let Some(record) = self.flows.get_mut(&flow) else {
             self.receive_unknown(header, packet, now, outbox);
             return;
@@ -259,6 +259,14 @@
             return;
         }
         let flow = packet.header.caller_flow();
+        if header.purpose == ForwardPurpose::Search {
+            let message = CarryMessage::NotHeld {
+                flow,
+                is_certain: false,
+            };
+            outbox.send_message(header.balancer, &message, &[]);
+            return;
+        }
         self.flows
             .insert(flow, FlowRecord::asked(header.clone(), now));
         self.deliver(&flow, packet, now, outbox);
@@ -267,7 +275,7 @@
     /// Tells a balancer that the server does not hold a flow.
     fn disown(&self, header: &CarryHeader, packet: &RawPacket<'_>, outbox: &mut FlowOutbox) {
         let message = match header.purpose {
-            ForwardPurpose::Search => CarryMessage::NotHeld {
+            ForwardPurpose::Search | ForwardPurpose::Probe => CarryMessage::NotHeld {
                 flow: packet.header.caller_flow(),
                 is_certain: true,
             },
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -216,15 +216,15 @@
             "reset an open flow whose server is gone",
             json!({ "flow": name(flow), "reason": format!("{reason:?}") }),
         ),
-        FlowEvent::Searching { flow, skipped } => (
+        FlowEvent::Searching { flow, hosts } => (
             "balancer",
             "looking for the host of a flow",
-            json!({ "flow": name(flow), "skipped": skipped }),
+            json!({ "flow": name(flow), "hosts": hosts }),
         ),
-        FlowEvent::Unowned { flow, is_uncertain } => (
+        FlowEvent::Unowned { flow, undecided } => (
             "balancer",
             "found no host for a packet",
-            json!({ "flow": name(flow), "uncertain": is_uncertain }),
+            json!({ "flow": name(flow), "undecided": undecided }),
         ),
         FlowEvent::Answered { flow, micros } => (
             "host",
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -133,8 +133,10 @@
     OpenHere,
     /// The balancer has seen the flow at this host.
     Owner,
-    /// The balancer looks for the host of the flow.
+    /// The balancer looks for the host of the flow; one that knows it takes it.
     Search,
+    /// As before, and a host that lost its table asks its server.
+    Probe,
 }
 
 /// Goes before a packet on its way to a host.
