Keep the host of an ended server from resetting a flow that went on elsewhere

A flow was offered to a server that crashed before it answered, and opened at another one. A search later reached the first host, which still had the flow as broken and reset it for its caller.

Change: a host resets a broken flow on a search only if the packet goes on from its server's stream, and does not reset flows that its server never answered.

--- a/crates/flows/src/gate/mod.rs
+++ b/crates/flows/src/gate/mod.rs
@@ -226,11 +226,16 @@
                 self.disown(header, packet, outbox);
                 return;
             }
+            FlowPhase::Broken if is_search && !record.continues(&packet.header) => {
+                // The flow may have gone on at another server.
+                self.disown(header, packet, outbox);
+                return;
+            }
             FlowPhase::Broken => {
                 outbox.send_reset(flow, packet.header.acknowledged);
                 return;
             }
-            FlowPhase::Offered if !record.is_answer_acknowledged(&packet.header) => {
+            FlowPhase::Offered if !record.continues(&packet.header) => {
                 // The caller took the answer of another server.
                 self.disown(header, packet, outbox);
                 return;
--- a/crates/flows/src/gate/records.rs
+++ b/crates/flows/src/gate/records.rs
@@ -29,9 +29,9 @@
 /// longest takes 180 ms, and a full queue before a slow server ten times as long.
 const REQUEST_MEMORY: Duration = Duration::from_secs(2);
 
-/// Positions in a stream that an acknowledgement can be ahead of its start. A
-/// flow that is in its handshake has carried much less.
-const ANSWER_WINDOW: u32 = 1 << 24;
+/// Positions in a server's stream between two acknowledgements that belong to the
+/// same flow. An answer has 480 kB at most.
+const ANSWER_WINDOW: u32 = 1 << 19;
 
 /// How far a flow has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,12 +109,23 @@
         }
     }
 
-    /// Returns whether a packet of the caller goes on from this server's answer.
-    pub(super) fn is_answer_acknowledged(&self, header: &FlowPacket) -> bool {
-        let Some(start) = self.answer_sequence else {
-            return false;
+    /// Returns whether a packet of the caller goes on from this server's stream.
+    pub(super) fn continues(&self, header: &FlowPacket) -> bool {
+        let known = match (self.acknowledged, self.answer_sequence) {
+            (0, None) => return false,
+            (0, Some(start)) => start,
+            (acknowledged, _) => acknowledged,
         };
-        header.has_ack && header.acknowledged.wrapping_sub(start) < ANSWER_WINDOW
+        header.has_ack && header.acknowledged.wrapping_sub(known) < ANSWER_WINDOW
+    }
+
+    /// Returns the position at which the caller takes a reset; nothing while the
+    /// flow cannot have opened here.
+    fn reset_position(&self) -> Option<u32> {
+        if self.acknowledged != 0 {
+            return Some(self.acknowledged);
+        }
+        self.answer_sequence.map(|start| start.wrapping_add(1))
     }
 
     /// Returns whether the packet has data that the server was not handed before,
@@ -198,12 +209,13 @@
         self.deny_asked(outbox);
         for (flow, record) in self.flows.iter_mut() {
             let was_open = matches!(record.phase, FlowPhase::Open | FlowPhase::Offered);
+            let position = record.reset_position();
             record.asked_at = None;
             if record.phase != FlowPhase::Absent {
                 record.phase = FlowPhase::Broken;
             }
-            if was_open {
-                outbox.send_reset(*flow, record.acknowledged);
+            if let Some(position) = position.filter(|_| was_open) {
+                outbox.send_reset(*flow, position);
                 outbox.note(FlowEvent::Broken {
                     flow: *flow,
                     reason: BreakReason::ServerEnded,
--- a/crates/flows/tests/gate_restart.rs
+++ b/crates/flows/tests/gate_restart.rs
@@ -120,3 +120,30 @@
         Peer(10.0.2.1): Returned { purpose: OpenHere } + 6 bytes"#]]
     .assert_eq(&drain(&mut outbox));
 }
+
+#[test]
+fn a_flow_that_went_on_elsewhere_is_not_reset_by_the_host_of_an_ended_server() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = ready_gate(1);
+    let open = header(ForwardPurpose::Open);
+    gate.receive_forwarded(&open, &raw(&opening(4_001)), at(20), &mut outbox);
+    gate.receive_server(&raw(&opened(4_001)), at(21), &mut outbox);
+    gate.receive_forwarded(&open, &raw(&opening(4_002)), at(22), &mut outbox);
+    outbox.clear();
+    let mut reborn = heartbeat(1);
+    reborn.born_unix_millis = 9_000;
+    gate.receive_heartbeat(&reborn, at(500), &mut outbox);
+    // Flow 4002 was never answered, and a balancer offers it to another host.
+    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&drain(&mut outbox));
+    // Both have opened at a server whose stream starts at 900000.
+    for port in [4_001, 4_002] {
+        let mut other = request(port);
+        other.acknowledged = 900_001;
+        let search = header(ForwardPurpose::Search);
+        gate.receive_forwarded(&search, &raw(&other), at(700), &mut outbox);
+    }
+    expect![[r#"
+        Peer(10.0.2.1): NotHeld { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, is_certain: true } + 0 bytes
+        Peer(10.0.2.1): NotHeld { flow: FlowKey { caller: 100.64.0.7:4002, target: 198.18.0.1:443 }, is_certain: true } + 0 bytes"#]]
+    .assert_eq(&drain(&mut outbox));
+}
