Write logs from the loop itself, and watch from the revision of the store

The process has one thread but for the writer of the logs.

Change: standard output is written without blocking by the loop, and the process has no second thread; a watch begins at the revision of the store that came with the item; a refused watch pauses; a configuration that was never written is no lost dependency.

--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -1,33 +1,33 @@
 //! Structured logs: one JSON object a line on standard output.
 //!
 //! Lines of one kind are limited in each second, and the number of those left out
-//! is written with the next. A thread of its own writes, from a queue that is
-//! never waited for, so a reader that does not read costs lines and no packets.
+//! is written with the next. Standard output is written in batches and never
+//! waited for, so a reader that does not read costs lines and no packets.
 
+use std::io;
 use std::io::Write;
-use std::sync::mpsc::SyncSender;
-use std::sync::mpsc::TrySendError;
-use std::sync::mpsc::sync_channel;
-use std::thread;
 use std::time::Duration;
 
 use hyssopstair_flows::event::FlowEvent;
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::time::MonotonicTime;
+use nix::fcntl::FcntlArg;
+use nix::fcntl::OFlag;
+use nix::fcntl::fcntl;
 use serde_json::Value;
 use serde_json::json;
 
 /// Lines of one kind in a second.
 const LINES_PER_SECOND: u32 = 20;
 
-/// Bytes after which lines are handed to the writer.
+/// Bytes after which lines are written.
 const BATCH_BYTES: usize = 8 * 1024;
 
-/// Time after which lines are handed to the writer.
+/// Time after which lines are written.
 const BATCH_AGE: Duration = Duration::from_millis(500);
 
-/// Batches that wait for the writer at most.
-const QUEUE_LENGTH: usize = 16;
+/// Bytes that wait for a reader at most; further lines are left out.
+const BUFFER_BYTES: usize = 256 * 1024;
 
 /// Kinds of lines, each with a limit of its own.
 const KINDS: usize = 20;
@@ -35,13 +35,12 @@
 /// The logs of a process.
 #[derive(Debug)]
 pub struct EventJournal {
-    writer: SyncSender<Vec<u8>>,
-    batch: Vec<u8>,
-    batch_started: MonotonicTime,
+    buffer: Vec<u8>,
+    buffer_started: MonotonicTime,
     second: u64,
     written: [u32; KINDS],
     left_out: [u64; KINDS],
-    dropped_batches: u64,
+    lost_lines: u64,
 }
 
 /// One line, before it is limited.
@@ -53,25 +52,23 @@
 }
 
 impl EventJournal {
-    /// Starts the writer.
+    /// Creates the journal, and lets standard output refuse what it cannot take.
     pub fn start() -> Self {
-        let (writer, batches) = sync_channel::<Vec<u8>>(QUEUE_LENGTH);
-        thread::spawn(move || {
-            let mut output = std::io::stdout();
-            for batch in batches {
-                // Without a reader there is nobody to tell.
-                let _ = output.write_all(&batch);
-                let _ = output.flush();
+        let flags = fcntl(io::stdout(), FcntlArg::F_GETFL).map(OFlag::from_bits_truncate);
+        if let Ok(flags) = flags {
+            // Without this, a reader that stops reading would stop the process.
+            let set = fcntl(io::stdout(), FcntlArg::F_SETFL(flags | OFlag::O_NONBLOCK));
+            if let Err(error) = set {
+                eprintln!("journal: standard output may block: {error}");
             }
-        });
+        }
         Self {
-            writer,
-            batch: Vec::new(),
-            batch_started: MonotonicTime::default(),
+            buffer: Vec::new(),
+            buffer_started: MonotonicTime::default(),
             second: 0,
             written: [0; KINDS],
             left_out: [0; KINDS],
-            dropped_batches: 0,
+            lost_lines: 0,
         }
     }
 
@@ -97,17 +94,17 @@
         }
     }
 
-    /// Hands lines that are old enough to the writer.
+    /// Writes lines that are old enough, or all at the end of the process.
     pub fn flush(&mut self, now: MonotonicTime, is_last: bool) {
-        let is_due = self.batch.len() >= BATCH_BYTES || now.since(self.batch_started) >= BATCH_AGE;
-        if self.batch.is_empty() || !(is_due || is_last) {
+        let age = now.since(self.buffer_started);
+        let is_due = self.buffer.len() >= BATCH_BYTES || age >= BATCH_AGE;
+        if self.buffer.is_empty() || !(is_due || is_last) {
             return;
         }
-        let batch = std::mem::take(&mut self.batch);
-        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
-            self.writer.try_send(batch)
-        {
-            self.dropped_batches += 1;
+        self.buffer_started = now;
+        // What a reader does not take now is tried again with the next batch.
+        if let Ok(written) = io::stdout().lock().write(&self.buffer) {
+            self.buffer.drain(..written);
         }
     }
 
@@ -126,8 +123,12 @@
     }
 
     fn append(&mut self, line: LogLine, now: MonotonicTime) {
-        if self.batch.is_empty() {
-            self.batch_started = now;
+        if self.buffer.is_empty() {
+            self.buffer_started = now;
+        }
+        if self.buffer.len() >= BUFFER_BYTES {
+            self.lost_lines += 1;
+            return;
         }
         let mut object = line.fields;
         object["t_ms"] = json!(now.0 / 1_000);
@@ -136,11 +137,11 @@
         if left_out > 0 {
             object["left_out"] = json!(left_out);
         }
-        if self.dropped_batches > 0 {
-            object["lost_batches"] = json!(std::mem::take(&mut self.dropped_batches));
+        if self.lost_lines > 0 {
+            object["lost_lines"] = json!(std::mem::take(&mut self.lost_lines));
         }
-        self.batch.extend_from_slice(object.to_string().as_bytes());
-        self.batch.push(b'\n');
+        self.buffer.extend_from_slice(object.to_string().as_bytes());
+        self.buffer.push(b'\n');
     }
 }
 
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -171,8 +171,6 @@
         let fields = json!({ "lost_datagrams": self.lost_datagrams });
         self.journal.write_process("stopped", fields, now);
         self.journal.flush(now, true);
-        // The writer's thread ends with the process; it gets a moment for the last lines.
-        sleep(Duration::from_millis(5)).await;
     }
 
     async fn wait(&mut self, terminate: &mut Signal, reload: &mut Signal) {
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -72,7 +72,14 @@
                     }
                     known = Some(revision);
                 }
-                Err(StoreError::Refused(StatusCode::GONE)) => known = None,
+                Err(StoreError::Refused(StatusCode::GONE)) => {
+                    known = None;
+                    sleep(WATCH_PAUSE).await;
+                }
+                Err(StoreError::Refused(StatusCode::NOT_FOUND)) => {
+                    // The operators have not written a configuration yet.
+                    sleep(RETRY_PAUSE).await;
+                }
                 Err(error) => {
                     if !is_lost {
                         self.report(Some(error.to_string())).await;
@@ -159,10 +166,10 @@
         let answer = connection
             .call(store::get(store::CONFIGURATION_KEY), Duration::ZERO)
             .await?;
-        let (item, _) = store::read_item(&answer)?;
-        let revision = item.revision;
+        let (item, store_revision) = store::read_item(&answer)?;
         self.apply(item).await;
-        Ok(revision)
+        // The history may begin after the item's own revision.
+        Ok(store_revision)
     }
 
     async fn wait_for_change(
