--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -223,7 +223,7 @@
         for batch in flows.chunks(MAX_BATCH) {
             let message = CarryMessage::Flows {
                 owner: host,
-                flows: batch.iter().copied().collect(),
+                flows: batch.to_vec(),
             };
             outbox.send_message(peer, &message, &[]);
         }
--- a/crates/flows/src/gate/opening.rs
+++ b/crates/flows/src/gate/opening.rs
@@ -105,12 +105,7 @@
             .is_some_and(|record| record.phase == FlowPhase::Offered)
     }
 
-    fn judge(
-        &self,
-        header: &CarryHeader,
-        flow: &FlowKey,
-        now: MonotonicTime,
-    ) -> OpeningVerdict {
+    fn judge(&self, header: &CarryHeader, flow: &FlowKey, now: MonotonicTime) -> OpeningVerdict {
         if self.server.state() != ServerState::Ready || self.is_stopping {
             return OpeningVerdict::Refuse;
         }
--- a/crates/flows/tests/fuzz.rs
+++ b/crates/flows/tests/fuzz.rs
@@ -67,7 +67,10 @@
         .map(|text| format!("seed {seed}: {text}"))
         .collect();
     if world.tally.answered < 50 {
-        found.push(format!("seed {seed}: hardly anything was served: {:?}", world.tally));
+        found.push(format!(
+            "seed {seed}: hardly anything was served: {:?}",
+            world.tally
+        ));
     }
     found
 }
@@ -91,7 +94,10 @@
 #[test]
 #[ignore = "prints what happened to one flow; run by hand"]
 fn trace_of_a_flow() {
-    let seed: u64 = env::var("HYSSOPSTAIR_FUZZ_SEED").unwrap_or_default().parse().unwrap_or(0);
+    let seed: u64 = env::var("HYSSOPSTAIR_FUZZ_SEED")
+        .unwrap_or_default()
+        .parse()
+        .unwrap_or(0);
     let plan = plan_of(seed);
     println!("{plan:?}");
     let mut world = World::new(plan, seed);
--- a/crates/flows/tests/gate_load.rs
+++ b/crates/flows/tests/gate_load.rs
@@ -78,5 +78,6 @@
     second.sequence += 80;
     gate.receive_forwarded(&owner, &raw(&second), at(410), &mut outbox);
     let next = gate.in_progress(at(410));
-    expect!["repeated: 0, the next one: 1"].assert_eq(&format!("repeated: {repeated}, the next one: {next}"));
+    expect!["repeated: 0, the next one: 1"]
+        .assert_eq(&format!("repeated: {repeated}, the next one: {next}"));
 }
--- a/crates/flows/tests/gate_restart.rs
+++ b/crates/flows/tests/gate_restart.rs
@@ -75,7 +75,7 @@
     gate.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
     let told = CarryMessage::Flows {
         owner: host(1),
-        flows: [request(4_001).caller_flow()].into_iter().collect(),
+        flows: vec![request(4_001).caller_flow()],
     };
     gate.receive_peer(balancer_address(1), &told, None, &[], at(12), &mut outbox);
     outbox.clear();
@@ -113,7 +113,12 @@
     gate.receive_heartbeat(&leaving, at(500), &mut outbox);
     outbox.clear();
     for purpose in [ForwardPurpose::Open, ForwardPurpose::OpenHere] {
-        gate.receive_forwarded(&header(purpose), &raw(&opening(4_001)), at(501), &mut outbox);
+        gate.receive_forwarded(
+            &header(purpose),
+            &raw(&opening(4_001)),
+            at(501),
+            &mut outbox,
+        );
     }
     expect![[r#"
         Peer(10.0.2.1): Returned { purpose: Open } + 6 bytes
--- a/crates/flows/tests/model/caller.rs
+++ b/crates/flows/tests/model/caller.rs
@@ -73,7 +73,11 @@
 
     /// Starts a flow that carries `requests`.
     pub fn start(&mut self, requests: u32, now: u64) {
-        self.port = if self.port >= 60_000 { 1_000 } else { self.port + 1 };
+        self.port = if self.port >= 60_000 {
+            1_000
+        } else {
+            self.port + 1
+        };
         self.phase = AttemptPhase::Opening;
         self.copies = 0;
         self.asked = now;
--- a/crates/flows/tests/model/oracle.rs
+++ b/crates/flows/tests/model/oracle.rs
@@ -89,8 +89,10 @@
     /// A caller got a reset of the system for a flow that its living server holds.
     pub fn note_reset(&mut self, flow: FlowKey, counts: bool, now: u64) {
         if counts {
-            self.broken
-                .push(format!("{now} ms: the living flow {} was reset", flow.caller));
+            self.broken.push(format!(
+                "{now} ms: the living flow {} was reset",
+                flow.caller
+            ));
         }
     }
 
--- a/crates/flows/tests/model/world.rs
+++ b/crates/flows/tests/model/world.rs
@@ -87,16 +87,43 @@
 
 #[derive(Debug)]
 enum Event {
-    Inner { to: Ipv4Addr, from: Ipv4Addr, bytes: Vec<u8> },
-    ToBalancer { packet: ModelPacket, sent: u64 },
-    ToCaller { packet: ModelPacket, sent_by: Option<Ipv4Addr> },
-    Answer { host: u8, life: u64, flow: FlowKey },
+    Inner {
+        to: Ipv4Addr,
+        from: Ipv4Addr,
+        bytes: Vec<u8>,
+    },
+    ToBalancer {
+        packet: ModelPacket,
+        sent: u64,
+    },
+    ToCaller {
+        packet: ModelPacket,
+        sent_by: Option<Ipv4Addr>,
+    },
+    Answer {
+        host: u8,
+        life: u64,
+        flow: FlowKey,
+    },
     Tick(Ipv4Addr),
-    Beat { host: u8, life: u64 },
+    Beat {
+        host: u8,
+        life: u64,
+    },
     Probe,
-    Resend { caller: usize, turn: u64, after: u64 },
-    GiveUp { caller: usize, turn: u64 },
-    Begin { caller: usize, turn: u64 },
+    Resend {
+        caller: usize,
+        turn: u64,
+        after: u64,
+    },
+    GiveUp {
+        caller: usize,
+        turn: u64,
+    },
+    Begin {
+        caller: usize,
+        turn: u64,
+    },
     Restart(Ipv4Addr),
     StopDone(Ipv4Addr),
     Heal(Ipv4Addr),
@@ -170,7 +197,9 @@
     }
 
     fn set_up(&mut self) {
-        let balancers: Vec<Ipv4Addr> = (1..=self.plan.balancers).map(fixture::balancer_address).collect();
+        let balancers: Vec<Ipv4Addr> = (1..=self.plan.balancers)
+            .map(fixture::balancer_address)
+            .collect();
         let hosts: Vec<Ipv4Addr> = (1..=self.plan.hosts).map(fixture::host).collect();
         for address in balancers.iter().chain(&hosts) {
             let process = Process {
@@ -228,7 +257,11 @@
             Event::Tick(address) => self.tick(address),
             Event::Beat { host, life } => self.beat(host, life),
             Event::Probe => self.probe(),
-            Event::Resend { caller, turn, after } => self.resend(caller, turn, after),
+            Event::Resend {
+                caller,
+                turn,
+                after,
+            } => self.resend(caller, turn, after),
             Event::GiveUp { caller, turn } => self.give_up(caller, turn),
             Event::Begin { caller, turn } => self.begin(caller, turn),
             Event::Restart(address) => self.restart(address),
@@ -247,9 +280,15 @@
         let text = match event {
             Event::Inner { to, from, bytes } => match CarryMessage::decode(bytes) {
                 Some((CarryMessage::Hello(_), _)) | None => return,
-                Some((message, behind)) => format!("{from} > {to}: {message:?} {:?}", ModelPacket::decode(behind)),
+                Some((message, behind)) => format!(
+                    "{from} > {to}: {message:?} {:?}",
+                    ModelPacket::decode(behind)
+                ),
             },
-            Event::Fault(_) | Event::Restart(_) | Event::ToBalancer { .. } | Event::ToCaller { .. } => format!("{event:?}"),
+            Event::Fault(_)
+            | Event::Restart(_)
+            | Event::ToBalancer { .. }
+            | Event::ToCaller { .. } => format!("{event:?}"),
             _ => return,
         };
         let is_fault = matches!(event, Event::Fault(_) | Event::Restart(_));
@@ -259,7 +298,9 @@
     }
 
     fn process(&mut self, address: Ipv4Addr) -> &mut Process {
-        self.processes.get_mut(&address).expect("all addresses are set up")
+        self.processes
+            .get_mut(&address)
+            .expect("all addresses are set up")
     }
 
     // Processes.
@@ -268,18 +309,31 @@
         let now = self.time();
         self.starts += 1;
         let started = self.starts;
-        let contacts: Vec<Ipv4Addr> = (1..=self.plan.balancers).map(fixture::balancer_address).collect();
+        let contacts: Vec<Ipv4Addr> = (1..=self.plan.balancers)
+            .map(fixture::balancer_address)
+            .collect();
         let max_flow_age = Duration::from_secs(60);
         let zone = "utr-a".to_owned();
         let table = fixture::routes(1, vec![fixture::route(fixture::target(), fixture::SERVICE)]);
         let part = if address.octets()[2] == 2 {
-            let identity = BalancerIdentity { address, zone, started, max_flow_age };
+            let identity = BalancerIdentity {
+                address,
+                zone,
+                started,
+                max_flow_age,
+            };
             let mut balancer = FlowBalancer::new(identity, contacts, now);
             balancer.set_routes(table, &mut self.outbox);
             Part::Balancer(balancer)
         } else {
             let service = fixture::SERVICE.to_owned();
-            let identity = GateIdentity { address, zone, service, started, max_flow_age };
+            let identity = GateIdentity {
+                address,
+                zone,
+                service,
+                started,
+                max_flow_age,
+            };
             let mut gate = FlowGate::new(identity, contacts, now);
             gate.set_routes(table, &mut self.outbox);
             Part::Host(gate)
@@ -375,7 +429,13 @@
                 }
                 Destination::Caller(_) => {
                     if let Some(packet) = ModelPacket::decode(bytes) {
-                        self.later(CALLER_DELAY, Event::ToCaller { packet, sent_by: None });
+                        self.later(
+                            CALLER_DELAY,
+                            Event::ToCaller {
+                                packet,
+                                sent_by: None,
+                            },
+                        );
                     }
                 }
                 Destination::Peer(to) => {
@@ -392,7 +452,13 @@
                 sequence: reset.sequence,
                 ..ModelPacket::plain(reset.flow.target, reset.flow.caller)
             };
-            self.later(CALLER_DELAY, Event::ToCaller { packet, sent_by: Some(from) });
+            self.later(
+                CALLER_DELAY,
+                Event::ToCaller {
+                    packet,
+                    sent_by: Some(from),
+                },
+            );
         }
     }
 
@@ -414,7 +480,9 @@
             Part::Balancer(balancer) => {
                 balancer.receive_peer(from, &message, packet.as_ref(), behind, now, outbox);
             }
-            Part::Host(gate) => gate.receive_peer(from, &message, packet.as_ref(), behind, now, outbox),
+            Part::Host(gate) => {
+                gate.receive_peer(from, &message, packet.as_ref(), behind, now, outbox)
+            }
         });
     }
 
@@ -430,19 +498,31 @@
                 Some(Part::Balancer(balancer)) => balancer.is_ready(now),
                 _ => false,
             };
-            process.misses = if is_ready { 0 } else { process.misses.saturating_add(1) };
+            process.misses = if is_ready {
+                0
+            } else {
+                process.misses.saturating_add(1)
+            };
         }
         self.push(self.now + PROBE_INTERVAL, Event::Probe);
         let millis = self.millis();
         let servers = &self.servers;
         self.oracle.check_all(millis, |flow| {
-            servers.iter().any(|server| server.is_alive && server.flows.contains_key(flow))
+            servers
+                .iter()
+                .any(|server| server.is_alive && server.flows.contains_key(flow))
         });
     }
 
     fn route(&mut self, packet: &ModelPacket, _sent: u64) {
-        let all: Vec<Ipv4Addr> = (1..=self.plan.balancers).map(fixture::balancer_address).collect();
-        let mut ready: Vec<Ipv4Addr> = all.iter().copied().filter(|address| self.processes[address].misses < 2).collect();
+        let all: Vec<Ipv4Addr> = (1..=self.plan.balancers)
+            .map(fixture::balancer_address)
+            .collect();
+        let mut ready: Vec<Ipv4Addr> = all
+            .iter()
+            .copied()
+            .filter(|address| self.processes[address].misses < 2)
+            .collect();
         if ready.len() * 2 < all.len() {
             ready = all;
         }
@@ -513,13 +593,15 @@
         let host = address.octets()[3];
         let flow = packet.caller_flow();
         if self.traced.as_deref() == Some(flow.caller.to_string().as_str()) {
-            let holds = self.servers[usize::from(host) - 1].flows.contains_key(&flow);
+            let holds = self.servers[usize::from(host) - 1]
+                .flows
+                .contains_key(&flow);
             println!("{} us server {host} gets it, holds it: {holds}", self.now);
         }
         self.judge(host, &flow, packet);
         let server = &mut self.servers[usize::from(host) - 1];
         match server.take(host, packet) {
-            ServerStep::Reply(reply) => self.from_server(address, &reply),
+            ServerStep::Reply(reply) => self.receive_from_server(address, &reply),
             ServerStep::Run => {
                 let life = server.life;
                 let waiting = u64::from(server.running.saturating_sub(self.plan.slots));
@@ -568,7 +650,7 @@
         !process.is_cut && self.millis() >= process.disturbed + CONTACT
     }
 
-    fn from_server(&mut self, address: Ipv4Addr, packet: &ModelPacket) {
+    fn receive_from_server(&mut self, address: Ipv4Addr, packet: &ModelPacket) {
         let now = self.time();
         let mut plain = *packet;
         plain.is_bounced = false;
@@ -591,7 +673,7 @@
         }
         server.running = server.running.saturating_sub(1);
         if let Some(packet) = server.answer(host, flow) {
-            self.from_server(fixture::host(host), &packet);
+            self.receive_from_server(fixture::host(host), &packet);
         }
     }
 
@@ -601,18 +683,28 @@
         if self.callers[caller].turn != turn {
             return;
         }
-        let is_feed = caller % 2 == 0;
+        let is_feed = caller.is_multiple_of(2);
         let requests = if is_feed { 20 } else { 1 };
         let millis = self.millis();
         let state = &mut self.callers[caller];
         state.start(requests, millis);
         let (turn, packet) = (state.turn, state.opening());
-        self.from_caller(&packet);
-        self.push(self.now + 200_000, Event::Resend { caller, turn, after: 400_000 });
-        self.push(self.now + TIME_BUDGET * 1_000, Event::GiveUp { caller, turn });
+        self.send_from_caller(&packet);
+        self.push(
+            self.now + 200_000,
+            Event::Resend {
+                caller,
+                turn,
+                after: 400_000,
+            },
+        );
+        self.push(
+            self.now + TIME_BUDGET * 1_000,
+            Event::GiveUp { caller, turn },
+        );
     }
 
-    fn from_caller(&mut self, packet: &ModelPacket) {
+    fn send_from_caller(&mut self, packet: &ModelPacket) {
         if !self.loses() {
             let (packet, sent) = (*packet, self.millis());
             self.later(CALLER_DELAY, Event::ToBalancer { packet, sent });
@@ -633,8 +725,15 @@
         } else {
             state.request()
         };
-        self.from_caller(&packet);
-        self.push(self.now + after, Event::Resend { caller, turn, after: after * 2 });
+        self.send_from_caller(&packet);
+        self.push(
+            self.now + after,
+            Event::Resend {
+                caller,
+                turn,
+                after: after * 2,
+            },
+        );
     }
 
     fn give_up(&mut self, caller: usize, turn: u64) {
@@ -672,8 +771,15 @@
             state.phase = AttemptPhase::Open;
             state.server_start = packet.sequence;
             let (turn, request) = (state.turn, state.request());
-            self.from_caller(&request);
-            self.push(self.now + 200_000, Event::Resend { caller, turn, after: 400_000 });
+            self.send_from_caller(&request);
+            self.push(
+                self.now + 200_000,
+                Event::Resend {
+                    caller,
+                    turn,
+                    after: 400_000,
+                },
+            );
             return;
         }
         let is_own = packet.sequence == state.server_start + 1;
@@ -699,7 +805,14 @@
         state.asked = asked;
         let turn = state.turn;
         let at = self.now + pause;
-        self.push(at, Event::Resend { caller, turn, after: 200_000 });
+        self.push(
+            at,
+            Event::Resend {
+                caller,
+                turn,
+                after: 200_000,
+            },
+        );
         self.push(at + TIME_BUDGET * 1_000, Event::GiveUp { caller, turn });
     }
 
@@ -717,7 +830,8 @@
         }
         self.tally.broken += 1;
         if let Some(owner) = self.owner(&flow, acknowledged) {
-            let counts = self.is_calm(fixture::host(owner)) && sent_by.is_none_or(|sender| self.is_calm(sender));
+            let counts = self.is_calm(fixture::host(owner))
+                && sent_by.is_none_or(|sender| self.is_calm(sender));
             let millis = self.millis();
             self.oracle.note_reset(flow, counts, millis);
         }
@@ -729,8 +843,12 @@
     fn strike(&mut self, fault: Fault) {
         let now = self.time();
         match fault {
-            Fault::KillBalancer(number) => self.end_process(fixture::balancer_address(number), false),
-            Fault::StopBalancer(number) => self.begin_stop(fixture::balancer_address(number), now, 1_600_000),
+            Fault::KillBalancer(number) => {
+                self.end_process(fixture::balancer_address(number), false)
+            }
+            Fault::StopBalancer(number) => {
+                self.begin_stop(fixture::balancer_address(number), now, 1_600_000)
+            }
             Fault::KillHost(number) => self.end_process(fixture::host(number), false),
             Fault::StopHost(number) => self.begin_stop(fixture::host(number), now, 300_000),
             Fault::CrashServer(number) => self.crash_server(number),
@@ -776,7 +894,10 @@
 }
 
 fn carries_packet(message: &CarryMessage) -> bool {
-    matches!(message, CarryMessage::Forward(_) | CarryMessage::Returned { .. })
+    matches!(
+        message,
+        CarryMessage::Forward(_) | CarryMessage::Returned { .. }
+    )
 }
 
 fn mix(number: u64) -> u64 {
--- a/crates/flows/tests/opening.rs
+++ b/crates/flows/tests/opening.rs
@@ -24,11 +24,23 @@
 fn with_hosts(numbers: &[u8], outbox: &mut FlowOutbox) -> FlowBalancer {
     let mut balancer = balancer();
     for number in numbers {
-        greet(&mut balancer, *number, &host_hello(1, u16::from(*number)), at(10), outbox);
+        greet(
+            &mut balancer,
+            *number,
+            &host_hello(1, u16::from(*number)),
+            at(10),
+            outbox,
+        );
     }
     run(&mut balancer, 10, 900, outbox);
     for number in numbers {
-        greet(&mut balancer, *number, &host_hello(2, u16::from(*number)), at(900), outbox);
+        greet(
+            &mut balancer,
+            *number,
+            &host_hello(2, u16::from(*number)),
+            at(900),
+            outbox,
+        );
     }
     outbox.clear();
     balancer
@@ -40,7 +52,14 @@
     };
     let opening = opening(4_001);
     let packet = raw(&opening);
-    balancer.receive_peer(host(number), &returned, Some(&packet), b"packet", at(millis), outbox);
+    balancer.receive_peer(
+        host(number),
+        &returned,
+        Some(&packet),
+        b"packet",
+        at(millis),
+        outbox,
+    );
 }
 
 #[test]
@@ -58,7 +77,9 @@
     let mut balancer = with_hosts(&[1, 2], &mut outbox);
     balancer.receive_caller(&raw(&opening(4_001)), at(910), &mut outbox);
     run(&mut balancer, 910, 995, &mut outbox);
-    let placed = events(&mut outbox, |event| matches!(event, FlowEvent::Placed { .. }));
+    let placed = events(&mut outbox, |event| {
+        matches!(event, FlowEvent::Placed { .. })
+    });
     expect![[r#"
         Placed { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, host: 10.0.1.1, routes: 1, in_progress: 1, report_age_millis: 10, attempt: 0 }
         Placed { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, host: 10.0.1.2, routes: 1, in_progress: 2, report_age_millis: 70, attempt: 1 }"#]]
@@ -87,7 +108,9 @@
     for millis in (911..1_400).step_by(10) {
         return_opening(&mut balancer, 1, millis, &mut outbox);
         run(&mut balancer, millis, millis, &mut outbox);
-        let text = events(&mut outbox, |event| matches!(event, FlowEvent::Refused { .. }));
+        let text = events(&mut outbox, |event| {
+            matches!(event, FlowEvent::Refused { .. })
+        });
         if !text.is_empty() {
             refused.push(format!("{millis} ms: {text}"));
         }
--- a/crates/flows/tests/search.rs
+++ b/crates/flows/tests/search.rs
@@ -75,7 +75,13 @@
     let mut outbox = FlowOutbox::default();
     let mut balancer = balancer();
     for number in 1..=6 {
-        greet(&mut balancer, number, &host_hello(1, 0), at(10), &mut outbox);
+        greet(
+            &mut balancer,
+            number,
+            &host_hello(1, 0),
+            at(10),
+            &mut outbox,
+        );
     }
     balancer.receive_caller(&raw(&request(4_001)), at(100), &mut outbox);
     outbox.clear();
@@ -128,7 +134,13 @@
         if let HelloRole::Host(host) = &mut hello.role {
             host.is_server_new = true;
         }
-        greet(&mut balancer, number, &CarryMessage::Hello(hello), at(10), &mut outbox);
+        greet(
+            &mut balancer,
+            number,
+            &CarryMessage::Hello(hello),
+            at(10),
+            &mut outbox,
+        );
     }
     balancer.receive_caller(&raw(&request(4_001)), at(70), &mut outbox);
     outbox.clear();
@@ -145,9 +157,16 @@
     keep_heard(&mut balancer, 2_000, &mut outbox);
     let told = CarryMessage::Flows {
         owner: host(9),
-        flows: [request(4_002).caller_flow()].into_iter().collect(),
+        flows: vec![request(4_002).caller_flow()],
     };
-    balancer.receive_peer(balancer_address(2), &told, None, &[], at(2_000), &mut outbox);
+    balancer.receive_peer(
+        balancer_address(2),
+        &told,
+        None,
+        &[],
+        at(2_000),
+        &mut outbox,
+    );
     balancer.receive_caller(&raw(&request(4_001)), at(2_010), &mut outbox);
     outbox.clear();
     deny(&mut balancer, 1, true, 2_011, &mut outbox);
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -356,7 +356,8 @@
         match &self.part {
             CarryPart::Balancer(_) => age >= BALANCER_LINGER,
             CarryPart::Host(gate) => {
-                let is_idle = gate.in_progress(now) == 0 || gate.server_state() == ServerState::Down;
+                let is_idle =
+                    gate.in_progress(now) == 0 || gate.server_state() == ServerState::Down;
                 age >= HOST_PATIENCE || (is_idle && age >= HOST_LINGER)
             }
         }
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -184,8 +184,8 @@
     Flows {
         /// The host of the flows.
         owner: Ipv4Addr,
-        /// The flows.
-        flows: ArrayVec<FlowKey, MAX_BATCH>,
+        /// The flows, [`MAX_BATCH`] at most.
+        flows: Vec<FlowKey>,
     },
     /// Asks for routes newer than `known`.
     RoutesWanted {
