Name all balancers in turn, and search first where flows are placed

A hello names 16 balancers, always those with the highest addresses, so of 22 the lowest were learnt only from the store. Such a balancer took traffic with 32 of 56 hosts known, and reset flows of the others.

Change: hellos name the balancers met last and the others in turn; a balancer does not reset flows while a peer knows more hosts; a host that has ended with its server is forgotten at once, and its flows are reset as soon as nothing listens. A search asks the first eight hosts of a flow's order completely, servers included, before the next ones.

Ruled out: lost wake-ups (counters of the loop: 30 turns a second), load.

Tests membership and search failed before.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -12,6 +12,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use arrayvec::ArrayVec;
 use hyssopstair_wire::carried::CarryHeader;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::FlowKey;
@@ -19,6 +20,7 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::balancer::opening::PendingOpening;
+use crate::balancer::peers::MET_TOLD;
 use crate::balancer::search::PendingSearch;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
@@ -68,6 +70,7 @@
     routes_asked: MonotonicTime,
     members: MemberTable,
     contacts: Vec<Ipv4Addr>,
+    met_balancers: ArrayVec<Ipv4Addr, MET_TOLD>,
     hints: FlowTable<FlowHint>,
     openings: Vec<PendingOpening>,
     held: HoldQueue,
@@ -92,6 +95,7 @@
             routes_asked: MonotonicTime::default(),
             members: MemberTable::default(),
             contacts: Vec::new(),
+            met_balancers: ArrayVec::new(),
             hints: FlowTable::default(),
             openings: Vec::new(),
             held: HoldQueue::default(),
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -26,6 +26,9 @@
 /// Time between two questions for routes.
 const ROUTES_PATIENCE: Duration = Duration::from_millis(150);
 
+/// Balancers met last that every hello names.
+pub(super) const MET_TOLD: usize = 4;
+
 impl FlowBalancer {
     /// Decides about a message of a peer. `packet` is the packet behind it,
     /// `behind` its bytes or those of another part.
@@ -137,10 +140,14 @@
                 }
                 if host.is_stopping && host.server == ServerState::Down {
                     self.drop_hints_of(from);
+                    self.members.remove_host(from);
                     self.told_hosts.retain(|told| *told != from);
                 }
             }
             HelloRole::Balancer(balancer) => {
+                if is_new {
+                    self.note_met_balancer(from);
+                }
                 self.add_contacts(&balancer.balancers);
                 if balancer.wants_flows {
                     self.hand_over(from, outbox);
@@ -183,14 +190,6 @@
     }
 
     fn hello(&self, wants_answer: bool, now: MonotonicTime) -> HelloMessage {
-        let others: ArrayVec<Ipv4Addr, _> = self
-            .members
-            .balancers()
-            .iter()
-            .rev()
-            .map(|record| record.peer.address)
-            .take(MAX_PEERS_TOLD)
-            .collect();
         HelloMessage {
             started: self.identity.started,
             number: self.hello_number,
@@ -200,11 +199,41 @@
             role: HelloRole::Balancer(BalancerHello {
                 is_stopping: self.is_stopping,
                 wants_flows: wants_answer && !self.is_ready(now),
-                balancers: others,
+                hosts: self.members.hosts().len().min(usize::from(u16::MAX)) as u16,
+                balancers: self.balancers_to_tell(),
             }),
         }
     }
 
+    /// Returns the balancers that this hello names: those met last, and the others
+    /// in turn.
+    fn balancers_to_tell(&self) -> ArrayVec<Ipv4Addr, MAX_PEERS_TOLD> {
+        let mut told: ArrayVec<Ipv4Addr, MAX_PEERS_TOLD> =
+            self.met_balancers.iter().copied().collect();
+        let all = self.members.balancers();
+        let turn = MAX_PEERS_TOLD - MET_TOLD;
+        let start = self.hello_number as usize * turn;
+        for offset in 0..all.len() {
+            if told.is_full() {
+                break;
+            }
+            let address = all[(start + offset) % all.len()].peer.address;
+            if !told.contains(&address) {
+                told.push(address);
+            }
+        }
+        told
+    }
+
+    /// Notes that a balancer was met.
+    fn note_met_balancer(&mut self, address: Ipv4Addr) {
+        self.met_balancers.retain(|met| *met != address);
+        if self.met_balancers.is_full() {
+            self.met_balancers.remove(0);
+        }
+        self.met_balancers.push(address);
+    }
+
     /// Tells a peer all flows of the table.
     pub(super) fn hand_over(&self, peer: Ipv4Addr, outbox: &mut FlowOutbox) {
         for host in self.members.hosts() {
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -1,10 +1,13 @@
 //! Looks for the host of a flow that the table does not name.
 //!
-//! First all hosts of the service are asked, in rounds, the most likely ones
-//! first; one that knows the flow takes the packet. Hosts that have lost their
-//! table cannot tell, and are then made to ask their servers, two at a time: each
-//! hands the packet to a server that may not be the right one, and a flow bears
-//! few of these.
+//! The hosts of the service are asked in rounds, the most likely ones first; one
+//! that knows the flow takes the packet. Hosts that have lost their table cannot
+//! tell, and are made to ask their servers, two at a time: each hands the packet
+//! to a server that may not be the right one, and a flow bears few of these.
+//!
+//! The load it answers: thousands of flows at once after all processes were
+//! killed, at balancers that handle a few thousand datagrams a second. New flows
+//! are offered to the first eight hosts of their order, so one round finds most.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -70,6 +73,8 @@
     doubtful: Vec<Ipv4Addr>,
     /// Hosts whose server was handed the packet and has not shown what it knows.
     probing: Vec<Ipv4Addr>,
+    /// Hosts that did not answer in time.
+    silent: Vec<Ipv4Addr>,
     packets: Vec<Vec<u8>>,
     acknowledged: u32,
 }
@@ -81,17 +86,26 @@
             &mut self.waiting,
             &mut self.doubtful,
             &mut self.probing,
+            &mut self.silent,
         ] {
             list.retain(|listed| *listed != host);
         }
     }
 
+    /// Returns whether all that were asked have answered.
+    fn is_round_over(&self) -> bool {
+        self.waiting.is_empty() && self.doubtful.is_empty() && self.probing.is_empty()
+    }
+
     /// Returns whether every host has said that it does not hold the flow.
     fn is_denied(&self) -> bool {
-        self.left.is_empty()
-            && self.waiting.is_empty()
-            && self.doubtful.is_empty()
-            && self.probing.is_empty()
+        self.is_round_over() && self.left.is_empty() && self.silent.is_empty()
+    }
+
+    /// Gives up waiting for those that were asked.
+    fn end_round(&mut self) {
+        self.silent.append(&mut self.waiting);
+        self.silent.append(&mut self.probing);
     }
 }
 
@@ -124,6 +138,7 @@
             waiting: Vec::new(),
             doubtful: Vec::new(),
             probing: Vec::new(),
+            silent: Vec::new(),
             packets: vec![packet.bytes.to_vec()],
             acknowledged: packet.header.acknowledged,
         });
@@ -180,9 +195,7 @@
         if !is_certain {
             search.doubtful.push(host);
         }
-        if search.waiting.is_empty() {
-            self.ask_next(index, now, outbox);
-        }
+        self.ask_next(index, now, outbox);
         self.conclude_if_denied(index, now, outbox);
     }
 
@@ -208,17 +221,17 @@
                 let search = self.searches.swap_remove(index);
                 outbox.note(FlowEvent::Unowned {
                     flow: search.flow,
-                    undecided: (search.waiting.len() + search.probing.len()) as u16,
+                    undecided: (search.silent.len() + search.probing.len()) as u16,
                 });
                 continue;
             }
-            if now.since(search.asked) >= ASK_AGAIN {
-                let waiting = std::mem::take(&mut search.waiting);
-                search.left.extend(waiting);
-            }
             if now.since(search.asked) >= ROUND_PATIENCE {
-                self.ask_next(index, now, outbox);
+                search.end_round();
+            }
+            if now.since(search.asked) >= ASK_AGAIN && search.left.is_empty() {
+                search.left = std::mem::take(&mut search.silent);
             }
+            self.ask_next(index, now, outbox);
             self.conclude_if_denied(index, now, outbox);
         }
     }
@@ -246,23 +259,13 @@
         hosts
     }
 
-    /// Asks the next round of hosts, or makes doubtful ones ask their servers.
+    /// Makes doubtful hosts ask their servers, or asks the next round of hosts.
     fn ask_next(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
-        let search_header = self.header(ForwardPurpose::Search);
-        let probe_header = self.header(ForwardPurpose::Probe);
-        let search = &mut self.searches[index];
-        let start = search.left.len().saturating_sub(MAX_CANDIDATES);
-        let round = search.left.split_off(start);
-        if !round.is_empty() {
-            search.asked = now;
-            let message = CarryMessage::Forward(search_header);
-            for host in &round {
-                outbox.send_message(*host, &message, &search.packets[0]);
-            }
-            search.waiting.extend(round);
-            return;
+        if self.searches[index].is_round_over() {
+            self.ask_round(index, now, outbox);
         }
-        let message = CarryMessage::Forward(probe_header);
+        let message = CarryMessage::Forward(self.header(ForwardPurpose::Probe));
+        let search = &mut self.searches[index];
         while search.probing.len() < MAX_PROBES && !search.doubtful.is_empty() {
             let host = search.doubtful.remove(0);
             search.asked = now;
@@ -271,6 +274,28 @@
         }
     }
 
+    /// Asks the next round of hosts, but those that are known to have lost their
+    /// table.
+    fn ask_round(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let message = CarryMessage::Forward(self.header(ForwardPurpose::Search));
+        let search = &mut self.searches[index];
+        let start = search.left.len().saturating_sub(MAX_CANDIDATES);
+        let round = search.left.split_off(start);
+        for host in round.into_iter().rev() {
+            search.asked = now;
+            let is_relearning = self
+                .members
+                .host(host)
+                .is_some_and(|record| record.is_relearning);
+            if is_relearning {
+                search.doubtful.push(host);
+            } else {
+                outbox.send_message(host, &message, &search.packets[0]);
+                search.waiting.push(host);
+            }
+        }
+    }
+
     /// Ends a search for a flow that every host has denied, unless there may be
     /// another host.
     fn conclude_if_denied(&mut self, index: usize, now: MonotonicTime, outbox: &mut FlowOutbox) {
@@ -310,6 +335,12 @@
             .told_hosts
             .iter()
             .all(|told| self.members.host(*told).is_some_and(is_heard));
-        self.has_settled(now) && told_are_heard && self.members.hosts().iter().all(is_heard)
+        let hosts = self.members.hosts();
+        let peers_know_more = self
+            .members
+            .balancers()
+            .iter()
+            .any(|record| usize::from(record.hosts) > hosts.len());
+        self.has_settled(now) && told_are_heard && !peers_know_more && hosts.iter().all(is_heard)
     }
 }
--- a/crates/flows/src/gate/server.rs
+++ b/crates/flows/src/gate/server.rs
@@ -58,6 +58,8 @@
     heard: MonotonicTime,
     delivered: Option<MonotonicTime>,
     checked: Option<MonotonicTime>,
+    /// Whether the server has said that it ends now.
+    is_ending: bool,
     /// When the server started, if the host was there.
     started: Option<MonotonicTime>,
 }
@@ -70,6 +72,7 @@
             heard: now,
             delivered: None,
             checked: None,
+            is_ending: false,
             started: None,
         }
     }
@@ -127,6 +130,7 @@
             }
             HeartbeatOrder::Next => {}
         }
+        self.server.is_ending = false;
         if beat.service != self.identity.service {
             self.set_service(&beat.service, now, outbox);
         }
@@ -143,6 +147,7 @@
     pub fn receive_deregistration(&mut self, id: &str, outbox: &mut FlowOutbox) {
         let is_present = self.server.beats.last().is_none_or(|beat| beat.id == id);
         if is_present {
+            self.server.is_ending = true;
             self.set_server_state(ServerState::Draining, ServerEvidence::Heartbeat, outbox);
         }
     }
@@ -158,7 +163,9 @@
         }
         let check = match self.server.state {
             ServerState::Unknown if self.health_path().is_some() => ServerCheck::Health,
-            ServerState::Ready | ServerState::Draining if self.server.is_suspicious(now) => {
+            ServerState::Ready | ServerState::Draining
+                if self.server.is_ending || self.server.is_suspicious(now) =>
+            {
                 ServerCheck::Connect
             }
             _ => return None,
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -94,6 +94,8 @@
     pub peer: PeerRecord,
     /// Whether it is about to stop.
     pub is_stopping: bool,
+    /// How many hosts it knows.
+    pub hosts: u16,
 }
 
 /// Times that depend on how many peers there are.
@@ -211,6 +213,7 @@
             HelloRole::Balancer(balancer) => self.record_balancer(BalancerRecord {
                 peer,
                 is_stopping: balancer.is_stopping,
+                hosts: balancer.hosts,
             }),
         }
     }
@@ -256,6 +259,13 @@
         }
     }
 
+    /// Forgets a host that has ended with its server.
+    pub fn remove_host(&mut self, address: Ipv4Addr) {
+        if let Ok(index) = self.find_host(address) {
+            self.hosts.remove(index);
+        }
+    }
+
     fn record_host(
         &mut self,
         peer: PeerRecord,
--- a/crates/flows/tests/gate_restart.rs
+++ b/crates/flows/tests/gate_restart.rs
@@ -3,6 +3,7 @@
 mod fixture;
 
 use expect_test::expect;
+use hyssopstair_flows::gate::CheckResult;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::ForwardPurpose;
@@ -152,3 +153,26 @@
         Peer(10.0.2.1): NotHeld { flow: FlowKey { caller: 100.64.0.7:4002, target: 198.18.0.1:443 }, is_certain: true } + 0 bytes"#]]
     .assert_eq(&drain(&mut outbox));
 }
+
+#[test]
+fn the_flows_of_a_server_that_has_ended_are_reset_once_nothing_listens_there() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = ready_gate(1);
+    let open = header(ForwardPurpose::Open);
+    gate.receive_forwarded(&open, &raw(&opening(4_001)), at(20), &mut outbox);
+    gate.receive_server(&raw(&opened(4_001)), at(21), &mut outbox);
+    gate.receive_deregistration("i-1", &mut outbox);
+    outbox.clear();
+    let mut steps = Vec::new();
+    for (millis, result) in [(100, CheckResult::Connected), (400, CheckResult::Refused)] {
+        steps.push(format!("{:?}", gate.due_check(at(millis))));
+        gate.receive_check(result, at(millis), &mut outbox);
+        steps.push(drain(&mut outbox));
+    }
+    expect![[r#"
+        Some(Connect)
+
+        Some(Connect)
+        reset 100.64.0.7:4001 at 5001"#]]
+    .assert_eq(&steps.join("\n"));
+}
--- a/crates/flows/tests/search.rs
+++ b/crates/flows/tests/search.rs
@@ -5,7 +5,9 @@
 use expect_test::expect;
 use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::outbox::FlowOutbox;
+use hyssopstair_wire::carried::BalancerHello;
 use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::HelloMessage;
 use hyssopstair_wire::carried::HelloRole;
 
 use crate::fixture::*;
@@ -174,6 +176,39 @@
     expect![""].assert_eq(&drain(&mut outbox));
 }
 
+#[test]
+fn a_flow_is_left_in_silence_while_a_peer_knows_more_hosts() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = balancer_with_hosts(&mut outbox);
+    keep_heard(&mut balancer, 2_000, &mut outbox);
+    let hello = CarryMessage::Hello(HelloMessage {
+        started: 1,
+        number: 1,
+        zone: "utr-a".to_owned(),
+        routes: 1,
+        wants_answer: false,
+        role: HelloRole::Balancer(BalancerHello {
+            is_stopping: false,
+            wants_flows: false,
+            hosts: 3,
+            balancers: Default::default(),
+        }),
+    });
+    balancer.receive_peer(
+        balancer_address(2),
+        &hello,
+        None,
+        &[],
+        at(2_000),
+        &mut outbox,
+    );
+    balancer.receive_caller(&raw(&request(4_001)), at(2_010), &mut outbox);
+    outbox.clear();
+    deny(&mut balancer, 1, true, 2_011, &mut outbox);
+    deny(&mut balancer, 2, true, 2_011, &mut outbox);
+    expect![""].assert_eq(&drain(&mut outbox));
+}
+
 #[test]
 fn packets_that_came_during_a_search_follow_the_first() {
     let mut outbox = FlowOutbox::default();
