--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -266,6 +266,10 @@
         }
         let message = CarryMessage::Forward(self.header(ForwardPurpose::Probe));
         let search = &mut self.searches[index];
+        if !search.waiting.is_empty() {
+            // One of them may know the flow; no server is asked in vain then.
+            return;
+        }
         while search.probing.len() < MAX_PROBES && !search.doubtful.is_empty() {
             let host = search.doubtful.remove(0);
             search.asked = now;
