--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -122,6 +122,121 @@
     },
 }
 
+/// The kind of an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EventKind {
+    /// New flows sent to hosts.
+    Placed,
+    /// New flows passed on to other hosts.
+    PassedOn,
+    /// New flows handed to the server.
+    Offered,
+    /// Flows refused before they opened.
+    Refused,
+    /// Open flows reset.
+    Broken,
+    /// Searches for the host of a flow.
+    Searching,
+    /// Searches that found no host.
+    Unowned,
+    /// Requests answered by the server.
+    Answered,
+    /// Requests that the server did not answer.
+    Unanswered,
+    /// Changes of the server's state.
+    Server,
+    /// Peers met.
+    PeerMet,
+    /// Peers forgotten.
+    PeerLost,
+    /// Versions of routes put in force.
+    Routes,
+    /// Datagrams dropped.
+    Dropped,
+}
+
+impl EventKind {
+    /// All kinds, in the order of their numbers.
+    pub const ALL: [Self; 14] = [
+        Self::Placed,
+        Self::PassedOn,
+        Self::Offered,
+        Self::Refused,
+        Self::Broken,
+        Self::Searching,
+        Self::Unowned,
+        Self::Answered,
+        Self::Unanswered,
+        Self::Server,
+        Self::PeerMet,
+        Self::PeerLost,
+        Self::Routes,
+        Self::Dropped,
+    ];
+
+    /// Returns the name of the kind's counter.
+    pub fn metric(self) -> &'static str {
+        match self {
+            Self::Placed => "hyssopstair.flow.placed",
+            Self::PassedOn => "hyssopstair.flow.passed_on",
+            Self::Offered => "hyssopstair.flow.offered",
+            Self::Refused => "hyssopstair.flow.refused",
+            Self::Broken => "hyssopstair.flow.broken",
+            Self::Searching => "hyssopstair.flow.searches",
+            Self::Unowned => "hyssopstair.flow.unowned",
+            Self::Answered => "hyssopstair.request.answered",
+            Self::Unanswered => "hyssopstair.request.unanswered",
+            Self::Server => "hyssopstair.server.changes",
+            Self::PeerMet => "hyssopstair.peer.met",
+            Self::PeerLost => "hyssopstair.peer.lost",
+            Self::Routes => "hyssopstair.routes.changes",
+            Self::Dropped => "hyssopstair.datagram.dropped",
+        }
+    }
+
+    /// Returns what the counter counts.
+    pub fn description(self) -> &'static str {
+        match self {
+            Self::Placed => "New flows sent to hosts",
+            Self::PassedOn => "New flows passed on to other hosts",
+            Self::Offered => "New flows handed to the server",
+            Self::Refused => "Flows refused before they opened",
+            Self::Broken => "Open flows reset",
+            Self::Searching => "Searches for the host of a flow",
+            Self::Unowned => "Searches that found no host",
+            Self::Answered => "Requests answered by the server",
+            Self::Unanswered => "Requests that the server did not answer",
+            Self::Server => "Changes of the server's state",
+            Self::PeerMet => "Peers met",
+            Self::PeerLost => "Peers forgotten",
+            Self::Routes => "Versions of routes put in force",
+            Self::Dropped => "Datagrams dropped",
+        }
+    }
+}
+
+impl FlowEvent {
+    /// Returns the kind.
+    pub fn kind(&self) -> EventKind {
+        match self {
+            Self::Placed { .. } => EventKind::Placed,
+            Self::PassedOn { .. } => EventKind::PassedOn,
+            Self::Offered { .. } => EventKind::Offered,
+            Self::Refused { .. } => EventKind::Refused,
+            Self::Broken { .. } => EventKind::Broken,
+            Self::Searching { .. } => EventKind::Searching,
+            Self::Unowned { .. } => EventKind::Unowned,
+            Self::Answered { .. } => EventKind::Answered,
+            Self::Unanswered { .. } => EventKind::Unanswered,
+            Self::Server { .. } => EventKind::Server,
+            Self::PeerMet { .. } => EventKind::PeerMet,
+            Self::PeerLost { .. } => EventKind::PeerLost,
+            Self::Routes { .. } => EventKind::Routes,
+            Self::Dropped { .. } => EventKind::Dropped,
+        }
+    }
+}
+
 /// Why a flow was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalReason {
--- a/crates/hyssopstaird/src/carry/http.rs
+++ b/crates/hyssopstaird/src/carry/http.rs
@@ -26,6 +26,7 @@
 
 use crate::carry::command::CarryCommand;
 use crate::carry::command::ProcessStatus;
+use crate::carry::metrics::CarryMetrics;
 use crate::error::DaemonError;
 
 /// Longest body of a call, in bytes. A heartbeat has 300.
@@ -38,17 +39,29 @@
 /// Pause after a failure to accept, which lasts while descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Answers calls at one address.
 #[derive(Debug, Clone)]
 pub struct CallServer {
     commands: mpsc::Sender<CarryCommand>,
     status: ProcessStatus,
+    metrics: CarryMetrics,
 }
 
 impl CallServer {
     /// Creates a server that asks and tells the loop of the process.
-    pub fn new(commands: mpsc::Sender<CarryCommand>, status: ProcessStatus) -> Self {
-        Self { commands, status }
+    pub fn new(
+        commands: mpsc::Sender<CarryCommand>,
+        status: ProcessStatus,
+        metrics: CarryMetrics,
+    ) -> Self {
+        Self {
+            commands,
+            status,
+            metrics,
+        }
     }
 
     /// Binds an address and answers calls there from now on.
@@ -85,6 +98,9 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
+        if request.uri().path() == METRICS_PATH {
+            return Ok(Response::new(Full::from(self.metrics.text())));
+        }
         let call = calls::decode_call(request.method().as_str(), request.uri().path());
         let status = match call {
             Some(InboundCall::Readiness) if self.status.is_ready() => StatusCode::OK,
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -8,6 +8,7 @@
 use std::io::Write;
 use std::time::Duration;
 
+use hyssopstair_flows::event::EventKind;
 use hyssopstair_flows::event::FlowEvent;
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::time::MonotonicTime;
@@ -29,8 +30,12 @@
 /// Bytes that wait for a reader at most; further lines are left out.
 const BUFFER_BYTES: usize = 256 * 1024;
 
-/// Kinds of lines, each with a limit of its own.
-const KINDS: usize = 20;
+/// Kinds of lines, each with a limit of its own: those of events, and those about
+/// the process.
+const KINDS: usize = EventKind::ALL.len() + 1;
+
+/// The kind of lines about the process.
+const PROCESS_KIND: usize = EventKind::ALL.len();
 
 /// The logs of a process.
 #[derive(Debug)]
@@ -74,7 +79,7 @@
 
     /// Writes an event.
     pub fn write_event(&mut self, event: &FlowEvent, now: MonotonicTime) {
-        let kind = kind_of(event);
+        let kind = event.kind() as usize;
         if self.takes(kind, now) {
             let line = describe(event, kind);
             self.append(line, now);
@@ -84,12 +89,12 @@
     /// Writes a line about the process itself.
     pub fn write_process(&mut self, text: &'static str, fields: Value, now: MonotonicTime) {
         let line = LogLine {
-            kind: 0,
+            kind: PROCESS_KIND,
             part: "process",
             text,
             fields,
         };
-        if self.takes(0, now) {
+        if self.takes(PROCESS_KIND, now) {
             self.append(line, now);
         }
     }
@@ -145,25 +150,6 @@
     }
 }
 
-fn kind_of(event: &FlowEvent) -> usize {
-    match event {
-        FlowEvent::Placed { .. } => 1,
-        FlowEvent::PassedOn { .. } => 2,
-        FlowEvent::Offered { .. } => 3,
-        FlowEvent::Refused { .. } => 4,
-        FlowEvent::Broken { .. } => 5,
-        FlowEvent::Searching { .. } => 6,
-        FlowEvent::Unowned { .. } => 7,
-        FlowEvent::Answered { .. } => 8,
-        FlowEvent::Server { .. } => 9,
-        FlowEvent::PeerMet { .. } => 10,
-        FlowEvent::PeerLost { .. } => 11,
-        FlowEvent::Routes { .. } => 12,
-        FlowEvent::Dropped { .. } => 13,
-        FlowEvent::Unanswered { .. } => 14,
-    }
-}
-
 fn describe(event: &FlowEvent, kind: usize) -> LogLine {
     let (part, text, fields) = match event {
         FlowEvent::Placed {
--- a/crates/hyssopstaird/src/carry/mod.rs
+++ b/crates/hyssopstaird/src/carry/mod.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod http;
 pub mod journal;
+pub mod metrics;
 pub mod part;
 pub mod process;
 pub mod sockets;
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -115,4 +115,21 @@
             Self::Host(gate) => gate.members().balancers().len(),
         }
     }
+
+    /// Returns how many flows are known.
+    pub fn flows(&self) -> usize {
+        match self {
+            Self::Balancer(balancer) => balancer.flows(),
+            Self::Host(gate) => gate.flows(),
+        }
+    }
+
+    /// Returns how many peers are known.
+    pub fn peers(&self) -> usize {
+        let members = match self {
+            Self::Balancer(balancer) => balancer.members(),
+            Self::Host(gate) => gate.members(),
+        };
+        members.hosts().len() + members.balancers().len()
+    }
 }
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
+use error_stack::ResultExt;
 use hyssopstair_adapter::packet::clear_bounced;
 use hyssopstair_adapter::packet::decode_packet;
 use hyssopstair_adapter::packet::encode_reset;
@@ -35,6 +36,7 @@
 use crate::carry::command::ProcessStatus;
 use crate::carry::http::CallServer;
 use crate::carry::journal::EventJournal;
+use crate::carry::metrics::CarryMetrics;
 use crate::carry::part::CarryPart;
 use crate::carry::sockets::DATAGRAM_BYTES;
 use crate::carry::sockets::DatagramSocket;
@@ -86,8 +88,8 @@
     sender: mpsc::Sender<CarryCommand>,
     commands: mpsc::Receiver<CarryCommand>,
     journal: EventJournal,
+    metrics: CarryMetrics,
     stop_asked: Option<MonotonicTime>,
-    lost_datagrams: u64,
 }
 
 impl CarryProcess {
@@ -101,8 +103,13 @@
         let status = ProcessStatus::default();
         let inner = DatagramSocket::bind(settings.inner())?;
         let outer = DatagramSocket::bind(outer_address(&settings))?;
-        let server = CallServer::new(sender.clone(), status.clone());
+        let metrics = CarryMetrics::new()
+            .change_context_lazy(|| DaemonError::new("failed to create the metrics"))?;
+        let server = CallServer::new(sender.clone(), status.clone(), metrics.clone());
         server.clone().start(settings.readiness).await?;
+        if let Some(address) = settings.metrics {
+            server.clone().start(address).await?;
+        }
         if let Some(beside) = &settings.server {
             server.start(beside.heartbeats).await?;
         }
@@ -118,8 +125,8 @@
             sender,
             commands,
             journal: EventJournal::start(),
+            metrics,
             stop_asked: None,
-            lost_datagrams: 0,
             settings,
         };
         process.start_store_tasks();
@@ -168,7 +175,7 @@
         let now = self.clock.now();
         self.part.stop(now, &mut self.outbox);
         self.flush(now);
-        let fields = json!({ "lost_datagrams": self.lost_datagrams });
+        let fields = json!({ "lost_datagrams": self.metrics.lost_datagrams.get() });
         self.journal.write_process("stopped", fields, now);
         self.journal.flush(now, true);
     }
@@ -240,6 +247,9 @@
             self.part.tick(now, &mut self.outbox);
         }
         self.check_server(now);
+        self.metrics.flows.set(self.part.flows() as i64);
+        self.metrics.peers.set(self.part.peers() as i64);
+        self.metrics.routes.set(self.part.routes_version() as i64);
         self.status.set(
             self.part.is_ready(now) && self.stop_asked.is_none(),
             self.part.routes_version(),
@@ -382,16 +392,17 @@
                     .write(bytes, SocketAddrV4::new(address, inner_port)),
             };
             if result.is_err() {
-                self.lost_datagrams += 1;
+                self.metrics.lost_datagrams.inc();
             }
         }
         for reset in self.outbox.resets() {
             let to = SocketAddrV4::new(*reset.flow.caller.ip(), caller_port);
             if self.outer.write(&encode_reset(reset), to).is_err() {
-                self.lost_datagrams += 1;
+                self.metrics.lost_datagrams.inc();
             }
         }
         for event in self.outbox.events() {
+            self.metrics.count(event);
             self.journal.write_event(event, now);
         }
         self.outbox.clear();
--- a/crates/rules/src/carry_settings.rs
+++ b/crates/rules/src/carry_settings.rs
@@ -33,6 +33,9 @@
     pub packets: SocketAddrV4,
     /// Where readiness is asked for over HTTP.
     pub readiness: SocketAddrV4,
+    /// Where metrics are served over HTTP, at `/metrics`; nowhere if left out.
+    #[serde(default)]
+    pub metrics: Option<SocketAddrV4>,
     /// First and last port for messages between processes.
     pub inner_ports: (u16, u16),
     /// Addresses of some balancers; they may be old.
