Deny flows beside a server that never shows, and name hosts that do not answer

Eight hosts never answered: processes that came back with the power beside servers that had left; they went on to hand packets to a server that is not there.

Change: a host that has heard nothing of its server for 2.5 s after its start denies flows that it does not know; the log of a search names the hosts that did not answer.

Tried and reverted: to reset, for 12 s after an outage of everything, what the first eight hosts deny.

Test gate_restart failed before.

--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -44,6 +44,9 @@
 /// Packets of one flow that a search keeps.
 const MAX_KEPT_PACKETS: usize = 4;
 
+/// Hosts that the log of a search without a result names.
+const MAX_NAMED: usize = 4;
+
 /// Servers that are handed the packet of a search at the same time.
 const MAX_PROBES: usize = 2;
 
@@ -109,6 +112,12 @@
         self.is_round_over() && self.left.is_empty()
     }
 
+    /// Returns the hosts that have not said whether they hold the flow.
+    fn undecided(&self) -> impl Iterator<Item = Ipv4Addr> {
+        let asked = self.waiting.iter().chain(&self.probing);
+        asked.chain(&self.silent).copied()
+    }
+
     /// Gives up waiting for those that were asked.
     fn end_round(&mut self) {
         self.silent.append(&mut self.waiting);
@@ -234,7 +243,7 @@
                 let search = self.searches.swap_remove(index);
                 outbox.note(FlowEvent::Unowned {
                     flow: search.flow,
-                    undecided: (search.silent.len() + search.probing.len()) as u16,
+                    undecided: search.undecided().take(MAX_NAMED).collect(),
                 });
                 continue;
             }
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -70,8 +70,8 @@
     Unowned {
         /// The flow.
         flow: FlowKey,
-        /// Hosts that did not answer.
-        undecided: u16,
+        /// Hosts that did not answer, four at most.
+        undecided: Vec<Ipv4Addr>,
     },
     /// A host measured how long its server took to answer.
     Answered {
--- a/crates/flows/src/gate/mod.rs
+++ b/crates/flows/src/gate/mod.rs
@@ -40,6 +40,10 @@
 /// Time between two ticks.
 pub const GATE_TICK: Duration = Duration::from_millis(50);
 
+/// Time after its start in which a host hears from a server that lives: two
+/// heartbeats, which come every 1.2 s, and some more.
+const SERVER_PATIENCE: Duration = Duration::from_millis(2_500);
+
 /// Shards of the table that one tick sweeps; the whole table takes a second and more.
 const SWEPT_SHARDS: usize = 12;
 
@@ -258,8 +262,7 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let may_hold = self.is_relearning && self.server.state() != ServerState::Down;
-        if !may_hold || packet.header.opens_flow() {
+        if !self.may_hold_unknown(now) || packet.header.opens_flow() {
             self.disown(header, packet, outbox);
             return;
         }
@@ -277,6 +280,16 @@
         self.deliver(&flow, packet, now, outbox);
     }
 
+    /// Returns whether the server may hold flows that the host has never seen.
+    fn may_hold_unknown(&self, now: MonotonicTime) -> bool {
+        let may_live = match self.server.state() {
+            ServerState::Ready | ServerState::Draining => true,
+            ServerState::Unknown => now.since(self.created) < SERVER_PATIENCE,
+            ServerState::Down => false,
+        };
+        self.is_relearning && may_live
+    }
+
     /// Tells a balancer that the server does not hold a flow.
     fn disown(&self, header: &CarryHeader, packet: &RawPacket<'_>, outbox: &mut FlowOutbox) {
         let message = match header.purpose {
--- a/crates/flows/tests/gate_restart.rs
+++ b/crates/flows/tests/gate_restart.rs
@@ -176,3 +176,19 @@
         reset 100.64.0.7:4001 at 5001"#]]
     .assert_eq(&steps.join("\n"));
 }
+
+#[test]
+fn a_host_whose_server_never_shows_denies_flows_after_a_while() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = gate(1);
+    let mut answers = Vec::new();
+    for millis in [1_000, 3_000] {
+        let search = header(ForwardPurpose::Search);
+        gate.receive_forwarded(&search, &raw(&request(4_001)), at(millis), &mut outbox);
+        answers.push(drain(&mut outbox));
+    }
+    expect![[r#"
+        Peer(10.0.2.1): NotHeld { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, is_certain: false } + 0 bytes
+        Peer(10.0.2.1): NotHeld { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, is_certain: true } + 0 bytes"#]]
+    .assert_eq(&answers.join("\n"));
+}
