Keep routes and their transfer in one type for balancers and hosts

Both roles had the same code to put routes in force, ask for newer ones and tell them. Contacts of balancers that were forgotten are dropped while others are known.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -28,7 +28,7 @@
 use crate::members::MemberTable;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
-use crate::route_transfer::RouteAssembly;
+use crate::route_transfer::RouteKeeper;
 use crate::routes::RouteTable;
 use crate::table::FlowTable;
 
@@ -65,9 +65,7 @@
 #[derive(Debug)]
 pub struct FlowBalancer {
     identity: BalancerIdentity,
-    routes: RouteTable,
-    assembly: RouteAssembly,
-    routes_asked: MonotonicTime,
+    routes: RouteKeeper,
     members: MemberTable,
     contacts: Vec<Ipv4Addr>,
     met_balancers: ArrayVec<Ipv4Addr, MET_TOLD>,
@@ -90,9 +88,7 @@
     pub fn new(identity: BalancerIdentity, contacts: Vec<Ipv4Addr>, now: MonotonicTime) -> Self {
         let mut balancer = Self {
             identity,
-            routes: RouteTable::default(),
-            assembly: RouteAssembly::default(),
-            routes_asked: MonotonicTime::default(),
+            routes: RouteKeeper::default(),
             members: MemberTable::default(),
             contacts: Vec::new(),
             met_balancers: ArrayVec::new(),
@@ -114,7 +110,7 @@
 
     /// Returns the routes in force.
     pub fn routes(&self) -> &RouteTable {
-        &self.routes
+        self.routes.table()
     }
 
     /// Returns the peers that are known.
@@ -133,7 +129,7 @@
         let has_waited = self
             .first_host
             .is_some_and(|met| now.since(met) >= TABLE_PATIENCE);
-        !self.is_stopping && self.routes.version() > 0 && has_waited
+        !self.is_stopping && self.routes.table().version() > 0 && has_waited
     }
 
     /// Adds addresses at which there may be balancers.
@@ -149,18 +145,10 @@
     }
 
     /// Puts routes in force, unless those in force are as new.
-    pub fn set_routes(&mut self, routes: RouteTable, outbox: &mut FlowOutbox) -> bool {
-        if routes.version() <= self.routes.version() {
-            return false;
+    pub fn set_routes(&mut self, routes: RouteTable, outbox: &mut FlowOutbox) {
+        if self.routes.put(routes, outbox) {
+            self.say_hello_soon();
         }
-        self.routes = routes;
-        outbox.note(FlowEvent::Routes {
-            version: self.routes.version(),
-            routes: self.routes.len(),
-        });
-        // Peers learn the version at once and fetch it from here.
-        self.next_hello = MonotonicTime::default();
-        true
     }
 
     /// Decides about a packet of a caller.
@@ -245,12 +233,17 @@
         CarryHeader {
             purpose,
             balancer: self.identity.address,
-            routes: self.routes.version(),
+            routes: self.routes.table().version(),
             best: None,
             next: Default::default(),
         }
     }
 
+    /// Lets peers learn at once what has changed.
+    fn say_hello_soon(&mut self) {
+        self.next_hello = MonotonicTime::default();
+    }
+
     fn learn_owner(&mut self, flow: FlowKey, owner: Ipv4Addr, now: MonotonicTime) {
         self.hints.insert(flow, FlowHint { owner, used: now });
     }
@@ -261,6 +254,10 @@
             .sweep(SWEPT_SHARDS, |_, hint| now.since(hint.used) < oldest);
         for (peer, silence) in self.members.forget_silent(now) {
             self.told_hosts.retain(|(told, _)| *told != peer);
+            // With no balancer left, the old addresses are the way back.
+            if !self.members.balancers().is_empty() {
+                self.contacts.retain(|contact| *contact != peer);
+            }
             outbox.note(FlowEvent::PeerLost {
                 peer,
                 silent_millis: silence.as_millis() as u32,
--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -113,7 +113,7 @@
 
     /// Offers a flow to the best hosts that were not asked before.
     fn offer(&mut self, new: NewFlow, now: MonotonicTime, outbox: &mut FlowOutbox) {
-        if self.routes.version() == 0 {
+        if self.routes.table().version() == 0 {
             outbox.note(FlowEvent::Dropped {
                 reason: DropReason::NotReady,
             });
@@ -223,7 +223,7 @@
         let Some(service) = self.facts(taken).map(|facts| facts.service) else {
             return;
         };
-        let routes = &self.routes;
+        let routes = self.routes.table();
         let next = self.held.take_first(now, |held| {
             let route = routes.route(held.flow.target);
             route.and_then(|route| route.service_of(&held.flow)) == Some(service.as_str())
@@ -266,7 +266,7 @@
     }
 
     fn facts(&self, flow: &FlowKey) -> Option<RouteFacts> {
-        let route = self.routes.route(flow.target)?;
+        let route = self.routes.table().route(flow.target)?;
         Some(RouteFacts {
             service: route.service_of(flow)?.to_owned(),
             timeout: Duration::from_millis(u64::from(route.timeout_millis)),
@@ -291,7 +291,7 @@
         outbox.note(FlowEvent::Refused {
             flow,
             reason,
-            routes: self.routes.version(),
+            routes: self.routes.table().version(),
         });
     }
 
@@ -303,7 +303,7 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let routes = self.routes.version();
+        let routes = self.routes.table().version();
         let Some(record) = self.members.host_mut(host) else {
             return;
         };
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -1,7 +1,6 @@
 //! Messages between a balancer and its peers.
 
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use arrayvec::ArrayVec;
 use hyssopstair_wire::carried::BalancerHello;
@@ -21,10 +20,6 @@
 use crate::members::HelloOutcome;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
-use crate::route_transfer::send_routes;
-
-/// Time between two questions for routes.
-const ROUTES_PATIENCE: Duration = Duration::from_millis(150);
 
 /// Balancers met last that every hello names.
 pub(super) const MET_TOLD: usize = 4;
@@ -71,17 +66,16 @@
                 }
             }
             CarryMessage::RoutesWanted { known } => {
-                if self.routes.version() > *known {
-                    send_routes(from, &self.routes, outbox);
-                }
+                self.routes.tell(from, *known, outbox);
             }
             CarryMessage::RoutesPart {
                 version,
                 part,
                 parts,
             } => {
-                if let Some(routes) = self.assembly.take(*version, *part, *parts, behind) {
-                    self.set_routes(routes, outbox);
+                let routes = &mut self.routes;
+                if routes.take_part(*version, *part, *parts, behind, outbox) {
+                    self.say_hello_soon();
                 }
             }
             CarryMessage::Forward(_) => outbox.note(FlowEvent::Dropped {
@@ -157,20 +151,9 @@
                 }
             }
         }
-        self.ask_for_routes(now, outbox);
-    }
-
-    /// Asks whoever has newer routes for them.
-    fn ask_for_routes(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
-        let Some((version, peer)) = self.members.newest_routes() else {
-            return;
-        };
-        let known = self.routes.version();
-        if version <= known || now.since(self.routes_asked) < ROUTES_PATIENCE {
-            return;
+        if let Some((version, peer)) = self.members.newest_routes() {
+            self.routes.ask(peer, version, now, outbox);
         }
-        self.routes_asked = now;
-        outbox.send_message(peer, &CarryMessage::RoutesWanted { known }, &[]);
     }
 
     /// Greets all peers, and the addresses at which there may be some.
@@ -197,7 +180,7 @@
             started: self.identity.started,
             number: self.hello_number,
             zone: self.identity.zone.clone(),
-            routes: self.routes.version(),
+            routes: self.routes.table().version(),
             wants_answer,
             role: HelloRole::Balancer(BalancerHello {
                 is_stopping: self.is_stopping,
@@ -246,13 +229,7 @@
 
     /// Tells a peer the flows of one host.
     fn tell_flows_of(&self, host: Ipv4Addr, peer: Ipv4Addr, outbox: &mut FlowOutbox) {
-        let flows: Vec<FlowKey> = self
-            .hints
-            .iter()
-            .filter(|(_, hint)| hint.owner == host)
-            .map(|(flow, _)| *flow)
-            .collect();
-        for batch in flows.chunks(MAX_BATCH) {
+        for batch in self.flows_of(host).chunks(MAX_BATCH) {
             let message = CarryMessage::Flows {
                 owner: host,
                 flows: batch.to_vec(),
@@ -261,14 +238,16 @@
         }
     }
 
-    fn drop_hints_of(&mut self, host: Ipv4Addr) {
-        let flows: Vec<FlowKey> = self
-            .hints
+    fn flows_of(&self, host: Ipv4Addr) -> Vec<FlowKey> {
+        self.hints
             .iter()
             .filter(|(_, hint)| hint.owner == host)
             .map(|(flow, _)| *flow)
-            .collect();
-        for flow in flows {
+            .collect()
+    }
+
+    fn drop_hints_of(&mut self, host: Ipv4Addr) {
+        for flow in self.flows_of(host) {
             self.hints.remove(&flow);
         }
     }
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -266,6 +266,7 @@
     fn likely_hosts(&self, flow: &FlowKey, now: MonotonicTime) -> Vec<Ipv4Addr> {
         let service = self
             .routes
+            .table()
             .route(flow.target)
             .and_then(|route| route.service_of(flow));
         let mut hosts: Vec<Ipv4Addr> = self
--- a/crates/flows/src/gate/mod.rs
+++ b/crates/flows/src/gate/mod.rs
@@ -33,7 +33,7 @@
 use crate::outbox::Destination;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
-use crate::route_transfer::RouteAssembly;
+use crate::route_transfer::RouteKeeper;
 use crate::routes::RouteTable;
 use crate::table::FlowTable;
 
@@ -67,9 +67,7 @@
 pub struct FlowGate {
     identity: GateIdentity,
     created: MonotonicTime,
-    routes: RouteTable,
-    assembly: RouteAssembly,
-    routes_asked: MonotonicTime,
+    routes: RouteKeeper,
     members: MemberTable,
     contacts: Vec<Ipv4Addr>,
     flows: FlowTable<FlowRecord>,
@@ -88,9 +86,7 @@
         let mut gate = Self {
             identity,
             created: now,
-            routes: RouteTable::default(),
-            assembly: RouteAssembly::default(),
-            routes_asked: MonotonicTime::default(),
+            routes: RouteKeeper::default(),
             members: MemberTable::default(),
             contacts: Vec::new(),
             flows: FlowTable::default(),
@@ -109,7 +105,7 @@
 
     /// Returns the routes in force.
     pub fn routes(&self) -> &RouteTable {
-        &self.routes
+        self.routes.table()
     }
 
     /// Returns the peers that are known.
@@ -134,7 +130,7 @@
 
     /// Returns the path of the server's health check, once routes are known.
     pub fn health_path(&self) -> Option<&str> {
-        self.routes.health_path(&self.identity.service)
+        self.routes.table().health_path(&self.identity.service)
     }
 
     /// Puts another service beside the host; flows of the one before are gone.
@@ -195,6 +191,10 @@
         if now >= self.next_hello {
             self.greet_all(now, outbox);
             for (peer, silence) in self.members.forget_silent(now) {
+                // With no balancer left, the old addresses are the way back.
+                if !self.members.balancers().is_empty() {
+                    self.contacts.retain(|contact| *contact != peer);
+                }
                 outbox.note(FlowEvent::PeerLost {
                     peer,
                     silent_millis: silence.as_millis() as u32,
--- a/crates/flows/src/gate/opening.rs
+++ b/crates/flows/src/gate/opening.rs
@@ -111,9 +111,10 @@
         }
         // The newer of the two tables decides; a balancer with newer routes may
         // know one that has not arrived here.
-        if self.routes.version() >= header.routes && self.routes.version() > 0 {
+        if self.routes.table().version() >= header.routes && self.routes.table().version() > 0 {
             let allowed = self
                 .routes
+                .table()
                 .route(flow.target)
                 .is_some_and(|route| route.allows(&self.identity.service));
             if !allowed {
--- a/crates/flows/src/gate/peers.rs
+++ b/crates/flows/src/gate/peers.rs
@@ -1,7 +1,6 @@
 //! Messages between a host and its peers.
 
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use hyssopstair_wire::carried::CarryLoad;
 use hyssopstair_wire::carried::CarryMessage;
@@ -17,12 +16,8 @@
 use crate::members::HelloOutcome;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
-use crate::route_transfer::send_routes;
 use crate::routes::RouteTable;
 
-/// Time between two questions for routes.
-const ROUTES_PATIENCE: Duration = Duration::from_millis(150);
-
 impl FlowGate {
     /// Decides about a message of a peer. `packet` is the packet behind it,
     /// `behind` its bytes or those of another part.
@@ -53,18 +48,15 @@
                 }
             }
             CarryMessage::RoutesWanted { known } => {
-                if self.routes.version() > *known {
-                    send_routes(from, &self.routes, outbox);
-                }
+                self.routes.tell(from, *known, outbox);
             }
             CarryMessage::RoutesPart {
                 version,
                 part,
                 parts,
             } => {
-                if let Some(routes) = self.assembly.take(*version, *part, *parts, behind) {
-                    self.set_routes(routes, outbox);
-                }
+                self.routes
+                    .take_part(*version, *part, *parts, behind, outbox);
             }
             CarryMessage::Flows { .. }
             | CarryMessage::Owned { .. }
@@ -74,16 +66,8 @@
     }
 
     /// Puts routes in force, unless those in force are as new.
-    pub fn set_routes(&mut self, routes: RouteTable, outbox: &mut FlowOutbox) -> bool {
-        if routes.version() <= self.routes.version() {
-            return false;
-        }
-        self.routes = routes;
-        outbox.note(FlowEvent::Routes {
-            version: self.routes.version(),
-            routes: self.routes.len(),
-        });
-        true
+    pub fn set_routes(&mut self, routes: RouteTable, outbox: &mut FlowOutbox) {
+        self.routes.put(routes, outbox);
     }
 
     /// Adds addresses at which there may be balancers.
@@ -130,7 +114,7 @@
             started: self.identity.started,
             number: self.hello_number,
             zone: self.identity.zone.clone(),
-            routes: self.routes.version(),
+            routes: self.routes.table().version(),
             wants_answer,
             role: HelloRole::Host(HostHello {
                 service: self.identity.service.clone(),
@@ -165,10 +149,6 @@
                 outbox.send_message(from, &answer, &[]);
             }
         }
-        if hello.routes > self.routes.version() && now.since(self.routes_asked) >= ROUTES_PATIENCE {
-            self.routes_asked = now;
-            let known = self.routes.version();
-            outbox.send_message(from, &CarryMessage::RoutesWanted { known }, &[]);
-        }
+        self.routes.ask(from, hello.routes, now, outbox);
     }
 }
--- a/crates/flows/tests/membership.rs
+++ b/crates/flows/tests/membership.rs
@@ -38,10 +38,10 @@
         if destination != Destination::Peer(peer) {
             continue;
         }
-        if let Some((CarryMessage::Hello(hello), _)) = CarryMessage::decode(bytes) {
-            if let HelloRole::Balancer(balancer) = hello.role {
-                told.extend(balancer.balancers);
-            }
+        if let Some((CarryMessage::Hello(hello), _)) = CarryMessage::decode(bytes)
+            && let HelloRole::Balancer(balancer) = hello.role
+        {
+            told.extend(balancer.balancers);
         }
     }
     told
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -73,7 +73,7 @@
         match self {
             Self::Balancer(balancer) => balancer.set_routes(routes, outbox),
             Self::Host(gate) => gate.set_routes(routes, outbox),
-        };
+        }
     }
 
     /// Adds addresses at which there may be balancers.
