--- /dev/null
+++ b/crates/flows/tests/heartbeat.rs
@@ -0,0 +1,81 @@
+//! The order of heartbeats: late ones and those of earlier lives change nothing.
+
+mod fixture;
+
+use expect_test::expect;
+use hyssopstair_flows::heartbeat::HeartbeatLog;
+use hyssopstair_flows::heartbeat::ServerHeartbeat;
+use hyssopstair_flows::outbox::FlowOutbox;
+use hyssopstair_wire::carried::ForwardPurpose;
+
+use crate::fixture::*;
+
+fn beat(born: u64, sequence: u64) -> ServerHeartbeat {
+    ServerHeartbeat {
+        born_unix_millis: born,
+        ..heartbeat(sequence)
+    }
+}
+
+#[test]
+fn heartbeats_are_ordered_by_life_and_number() {
+    let mut log = HeartbeatLog::default();
+    let steps = [
+        (1_000, 3),
+        (1_000, 4),
+        (1_000, 4),
+        (1_000, 2),
+        (2_000, 0),
+        (1_000, 9),
+        (2_000, 1),
+    ];
+    let orders: Vec<String> = steps
+        .iter()
+        .map(|(born, sequence)| {
+            format!(
+                "{born}/{sequence} {:?}",
+                log.record(&beat(*born, *sequence))
+            )
+        })
+        .collect();
+    expect![[r#"
+        1000/3 Next
+        1000/4 Next
+        1000/4 Late
+        1000/2 Late
+        2000/0 NewLife
+        1000/9 Late
+        2000/1 Next"#]]
+    .assert_eq(&orders.join("\n"));
+}
+
+#[test]
+fn a_late_heartbeat_of_an_earlier_life_breaks_no_flow() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = gate(1);
+    gate.receive_heartbeat(&beat(2_000, 0), at(0), &mut outbox);
+    let open = header(ForwardPurpose::Open);
+    gate.receive_forwarded(&open, &raw(&opening(4_001)), at(20), &mut outbox);
+    gate.receive_server(&raw(&opened(4_001)), at(21), &mut outbox);
+    outbox.clear();
+    gate.receive_heartbeat(&beat(1_000, 50), at(30), &mut outbox);
+    let owner = header(ForwardPurpose::Owner);
+    gate.receive_forwarded(&owner, &raw(&request(4_001)), at(40), &mut outbox);
+    expect!["Server: packet"].assert_eq(&drain(&mut outbox));
+}
+
+#[test]
+fn a_flow_that_opened_at_another_server_gets_no_further_here() {
+    let mut outbox = FlowOutbox::default();
+    let mut gate = ready_gate(1);
+    let open = header(ForwardPurpose::Open);
+    gate.receive_forwarded(&open, &raw(&opening(4_001)), at(20), &mut outbox);
+    gate.receive_server(&raw(&opened(4_001)), at(21), &mut outbox);
+    outbox.clear();
+    // The caller took the answer of a server whose stream starts at 900000.
+    let mut other = request(4_001);
+    other.acknowledged = 900_001;
+    let owner = header(ForwardPurpose::Owner);
+    gate.receive_forwarded(&owner, &raw(&other), at(27), &mut outbox);
+    expect!["Peer(10.0.2.1): Returned { purpose: Owner } + 6 bytes"].assert_eq(&drain(&mut outbox));
+}
