--- a/crates/flows/src/holding.rs
+++ b/crates/flows/src/holding.rs
@@ -83,11 +83,6 @@
         self.held.is_empty()
     }
 
-    /// Returns how many flows wait.
-    pub fn len(&self) -> usize {
-        self.held.len()
-    }
-
     /// Returns whether a flow waits.
     pub fn contains(&self, flow: &FlowKey) -> bool {
         self.held.iter().any(|held| held.flow == *flow)
