Tell a server that started with its host from one that kept running

Cause: after a power cut a server is up some 50 ms before the host beside it, so the heartbeats numbered 1 and 2 get no answer and the first that arrives is 2 or 3.

--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -31,6 +31,14 @@
 /// start within a second of each other.
 const NEW_SERVER_MAX_AGE: Duration = Duration::from_secs(3);
 
+/// Shortest time from the start of a server until a second process beside it can start:
+/// the first one has to open a flow and end, and the platform has to start the second.
+const MIN_TAKEOVER_MILLIS: u64 = 200;
+
+/// Age of a server up to which its first heartbeat cannot follow one that another process
+/// confirmed. A server sends a heartbeat about every 1,200 ms once they are confirmed.
+const MAX_UNCONFIRMED_MILLIS: u64 = 1_000;
+
 /// The result of a check of the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CheckResult {
@@ -137,8 +145,8 @@
                 self.is_relearning = false;
                 self.server.started_at = Some(now);
             }
-            HeartbeatOrder::InSequence if is_first && heartbeat.sequence <= 1 => {
-                // The server has just started, so it holds no flows from before.
+            HeartbeatOrder::InSequence if is_first && self.is_first_host_of(heartbeat, now) => {
+                // No earlier process beside the server can have opened a flow at it.
                 self.is_relearning = false;
                 self.deny_probed_flows(outbox);
                 self.server.started_at = Some(now);
@@ -158,6 +166,21 @@
         HeartbeatVerdict::Accepted
     }
 
+    /// Returns whether this process was the first beside the server that sent `heartbeat`,
+    /// by the time of day at which both started. A heartbeat that no process received is
+    /// repeated at once, so one that arrives late in the life of the server may follow
+    /// one that an earlier process confirmed.
+    fn is_first_host_of(&self, heartbeat: &ServerHeartbeat, now: MonotonicTime) -> bool {
+        let host_started = self.identity.started_unix_millis;
+        let server_started = heartbeat.started_unix_millis;
+        let uptime = now.since(self.created_at).as_millis() as u64;
+        let Some(server_age) = (host_started + uptime).checked_sub(server_started) else {
+            // The clock was set back after the server had started.
+            return false;
+        };
+        host_started <= server_started + MIN_TAKEOVER_MILLIS && server_age < MAX_UNCONFIRMED_MILLIS
+    }
+
     /// Handles a deregistration: the server with this `id` is about to end. Ignores it if
     /// the newest heartbeat came from a server with another ID.
     pub fn receive_deregistration(&mut self, id: &str, outbox: &mut FlowOutbox) {
--- a/crates/flows/tests/fuzz.rs
+++ b/crates/flows/tests/fuzz.rs
@@ -56,6 +56,8 @@
         policy: PlacingPolicy::Product,
         burst: None,
         max_pause_millis: 300,
+        link_bytes_per_second: None,
+        sets_clocks_back: true,
         loss_per_mille: random.random_range(0..=5),
         faults: Vec::new(),
         duration_millis: 20_000,
@@ -107,9 +109,10 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
-/// Seeds that violate an invariant because of a known bug; see KNOWN-RED.txt.
+/// Seeds that have violated an invariant: a host that was restarted within two heartbeats
+/// of its server's start denied the flows that had opened in between.
 #[test]
-fn seeds_that_are_known_to_fail() {
+fn seeds_that_have_failed_pass() {
     let failures: Vec<String> = [390, 423].into_iter().flat_map(run_seed).collect();
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
--- a/crates/flows/tests/heavy.rs
+++ b/crates/flows/tests/heavy.rs
@@ -53,6 +53,8 @@
         policy: PlacingPolicy::Product,
         burst: None,
         max_pause_millis: 200,
+        link_bytes_per_second: None,
+        sets_clocks_back: false,
         loss_per_mille: 0,
         faults: Vec::new(),
         duration_millis: 14_000,
--- a/crates/flows/tests/host_restart.rs
+++ b/crates/flows/tests/host_restart.rs
@@ -3,6 +3,7 @@
 mod fixture;
 
 use expect_test::expect;
+use hyssopstair_flows::heartbeat::ServerHeartbeat;
 use hyssopstair_flows::host::CheckResult;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_wire::carried::CarryHeader;
@@ -15,7 +16,7 @@
 fn a_host_probes_a_server_that_was_running_before_it() {
     let mut outbox = FlowOutbox::default();
     let mut host = new_host(1);
-    host.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    host.receive_heartbeat(&running_server_heartbeat(), at(10), &mut outbox);
     outbox.clear();
     let probe_header = carry_header(ForwardPurpose::Probe);
     host.receive_forwarded_packet(
@@ -36,7 +37,7 @@
 fn a_host_that_lost_its_table_denies_a_flow_without_certainty() {
     let mut outbox = FlowOutbox::default();
     let mut host = new_host(1);
-    host.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    host.receive_heartbeat(&running_server_heartbeat(), at(10), &mut outbox);
     outbox.clear();
     let question = locate_message(&request_packet(4_001));
     host.receive_peer_message(
@@ -55,7 +56,7 @@
 fn a_host_claims_no_flow_before_its_server_confirms_it() {
     let mut outbox = FlowOutbox::default();
     let mut host = new_host(1);
-    host.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    host.receive_heartbeat(&running_server_heartbeat(), at(10), &mut outbox);
     let probe_header = carry_header(ForwardPurpose::Probe);
     host.receive_forwarded_packet(
         &probe_header,
@@ -99,7 +100,7 @@
 fn a_host_denies_a_flow_whose_packet_its_server_returns() {
     let mut outbox = FlowOutbox::default();
     let mut host = new_host(1);
-    host.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    host.receive_heartbeat(&running_server_heartbeat(), at(10), &mut outbox);
     outbox.clear();
     let probe_header = carry_header(ForwardPurpose::Probe);
     host.receive_forwarded_packet(
@@ -145,7 +146,7 @@
 fn a_restarted_host_takes_over_the_flows_that_balancers_know() {
     let mut outbox = FlowOutbox::default();
     let mut host = new_host(1);
-    host.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    host.receive_heartbeat(&running_server_heartbeat(), at(10), &mut outbox);
     let report = CarryMessage::Flows {
         owner: host_address(1),
         flows: vec![request_packet(4_001).caller_flow()],
@@ -176,7 +177,7 @@
     );
     outbox.clear();
     let mut new_heartbeat = heartbeat(1);
-    new_heartbeat.started_unix_millis = 9_000;
+    new_heartbeat.started_unix_millis += 8_000;
     host.receive_heartbeat(&new_heartbeat, at(500), &mut outbox);
     expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&take_output(&mut outbox));
     // A late heartbeat of the previous incarnation changes no state.
@@ -226,7 +227,7 @@
     );
     outbox.clear();
     let mut new_heartbeat = heartbeat(1);
-    new_heartbeat.started_unix_millis = 9_000;
+    new_heartbeat.started_unix_millis += 8_000;
     host.receive_heartbeat(&new_heartbeat, at(500), &mut outbox);
     // The server never accepted flow 4002, and a balancer offers it to another host.
     expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&take_output(&mut outbox));
@@ -369,7 +370,7 @@
 fn a_flow_that_a_balancer_reported_wrongly_is_returned_and_not_reset() {
     let mut outbox = FlowOutbox::default();
     let mut host = new_host(1);
-    host.receive_heartbeat(&heartbeat(40), at(10), &mut outbox);
+    host.receive_heartbeat(&running_server_heartbeat(), at(10), &mut outbox);
     let report = CarryMessage::Flows {
         owner: host_address(1),
         flows: vec![request_packet(4_001).caller_flow()],
@@ -403,3 +404,52 @@
     host.receive_heartbeat(&heartbeat(0), at(50), &mut outbox);
     expect![""].assert_eq(&take_output(&mut outbox));
 }
+
+/// Asks a host that got `heartbeat` 60 ms after its start for a flow, and returns the
+/// answer.
+fn ask_after_heartbeat(heartbeat: &ServerHeartbeat) -> String {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_host(1);
+    host.receive_heartbeat(heartbeat, at(60), &mut outbox);
+    outbox.clear();
+    let question = locate_message(&request_packet(4_001));
+    host.receive_peer_message(
+        balancer_address(1),
+        &question,
+        None,
+        &[],
+        at(70),
+        &mut outbox,
+    );
+    take_output(&mut outbox)
+}
+
+// After a loss of power, the server is up some 50 ms before the host, and its first
+// heartbeats get no answer. A host that could not tell such a server from one that kept
+// running had every searched packet delivered to its server for the next minute.
+#[test]
+fn a_host_denies_flows_if_its_server_started_shortly_before_it() {
+    let mut third_heartbeat = heartbeat(3);
+    third_heartbeat.started_unix_millis -= 60;
+    expect!["Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: true } + 0 bytes"]
+        .assert_eq(&ask_after_heartbeat(&third_heartbeat));
+}
+
+// A host that ends soon after its server has started may have opened flows, and the
+// server's first heartbeat may have been lost.
+#[test]
+fn a_host_cannot_deny_flows_if_an_earlier_one_may_have_opened_them() {
+    let mut first_heartbeat = heartbeat(1);
+    first_heartbeat.started_unix_millis -= 400;
+    expect!["Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: false } + 0 bytes"]
+        .assert_eq(&ask_after_heartbeat(&first_heartbeat));
+}
+
+#[test]
+fn a_host_cannot_deny_flows_if_its_server_seems_to_have_started_in_the_future() {
+    // The clock was set back between the two starts.
+    let mut first_heartbeat = heartbeat(1);
+    first_heartbeat.started_unix_millis += 500;
+    expect!["Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: false } + 0 bytes"]
+        .assert_eq(&ask_after_heartbeat(&first_heartbeat));
+}
--- a/crates/flows/tests/model/caller.rs
+++ b/crates/flows/tests/model/caller.rs
@@ -9,7 +9,7 @@
 use crate::model::packet::ModelPacket;
 
 /// Length of a request.
-pub const REQUEST_BYTES: u16 = 80;
+pub const REQUEST_BYTES: u16 = 250;
 
 /// Time after which a caller abandons a request, in milliseconds.
 pub const REQUEST_TIMEOUT_MILLIS: u64 = 1_500;
--- a/crates/flows/tests/model/server.rs
+++ b/crates/flows/tests/model/server.rs
@@ -32,6 +32,8 @@
 pub struct ModelServer {
     /// Number of earlier incarnations.
     pub incarnation: u64,
+    /// Time at which this incarnation started, in milliseconds since the Unix epoch.
+    pub started_unix_millis: u64,
     /// Whether the server is running.
     pub is_alive: bool,
     /// Whether the server reports that it is draining.
@@ -51,7 +53,7 @@
 impl ModelServer {
     /// Returns the start time of this incarnation by the server's clock, in milliseconds.
     pub fn start_time(&self) -> u64 {
-        1_000_000 + self.incarnation * 1_000 - self.clock_offset
+        self.started_unix_millis - self.clock_offset
     }
 
     /// Handles a packet that is delivered by the host with the number `host`.
--- a/crates/flows/tests/model/world/faults.rs
+++ b/crates/flows/tests/model/world/faults.rs
@@ -11,11 +11,16 @@
 use crate::model::world::Event;
 use crate::model::world::Fault;
 use crate::model::world::ProcessRole;
+use crate::model::world::RESTART_DELAY_MICROS;
 use crate::model::world::World;
 
 /// Time after which the address of an ended instance is reused, in microseconds.
 const REUSE_DELAY_MICROS: u64 = 2_000_000;
 
+/// Time by which a server starts before its host when power returns to both, in
+/// microseconds.
+const SERVER_LEAD_MICROS: u64 = 50_000;
+
 impl World {
     /// Applies a fault of the plan.
     pub(super) fn apply_fault(&mut self, fault: Fault) {
@@ -49,21 +54,29 @@
             Fault::FreezeBalancer(number) => self.freeze_process(fixture::balancer_address(number)),
             Fault::FreezeHost(number) => self.freeze_process(fixture::host_address(number)),
             Fault::MoveRoute => self.move_route(),
-            Fault::KillAllProcesses => {
-                let all: Vec<Ipv4Addr> = self.processes.keys().copied().collect();
-                for address in all {
-                    self.end_process(address, false);
-                }
-            }
+            Fault::KillAllProcesses => self.kill_all_processes(),
             Fault::LosePower => {
-                let all: Vec<Ipv4Addr> = self.processes.keys().copied().collect();
-                for address in all {
-                    self.end_process(address, false);
-                }
+                self.kill_all_processes();
                 for host in 1..=self.plan.hosts {
                     self.crash_server(host);
                 }
             }
+            Fault::LosePowerTogether => {
+                self.kill_all_processes();
+                for host in 1..=self.plan.hosts {
+                    self.servers[usize::from(host) - 1].crash();
+                    let start = self.now + RESTART_DELAY_MICROS - SERVER_LEAD_MICROS;
+                    self.schedule(start, Event::StartServer(host));
+                }
+            }
+        }
+    }
+
+    /// Ends all balancers and hosts without notice.
+    fn kill_all_processes(&mut self) {
+        let all: Vec<Ipv4Addr> = self.processes.keys().copied().collect();
+        for address in all {
+            self.end_process(address, false);
         }
     }
 
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -57,6 +57,13 @@
 /// Time that a process takes to restart, in microseconds.
 const RESTART_DELAY_MICROS: u64 = 400_000;
 
+/// Time of day at the start of the simulation, in milliseconds since the Unix epoch.
+const START_UNIX_MILLIS: u64 = 1_000_000;
+
+/// Every seventh start of a process happens after its clock was set back, if the plan sets
+/// clocks back.
+const SET_BACK_START_INTERVAL: u64 = 7;
+
 /// The second service, which the route is moved to and from.
 const ARCHIVE_SERVICE: &str = "archive";
 
@@ -65,6 +72,17 @@
 /// milliseconds.
 const MAX_ROUTE_DELAY_MILLIS: u64 = 3_000 + 2_000;
 
+/// Longest time for which a datagram waits on a link before further ones are dropped, in
+/// microseconds.
+const MAX_LINK_QUEUE_MICROS: u64 = 500_000;
+
+/// Length of the IP and UDP headers of a datagram.
+const DATAGRAM_HEADER_BYTES: usize = 28;
+
+/// Time after which a server repeats a heartbeat that no process received, in
+/// microseconds.
+const HEARTBEAT_RETRY_MICROS: u64 = 30_000;
+
 /// Minimum time between two ticks of a process, in microseconds.
 const MIN_TICK_INTERVAL_MICROS: u64 = 200;
 
@@ -105,6 +123,8 @@
     KillAllProcesses,
     /// All processes and servers end without notice, and restart.
     LosePower,
+    /// As [`Fault::LosePower`], but each server starts shortly before its host.
+    LosePowerTogether,
 }
 
 /// A policy by which balancers choose hosts for new flows.
@@ -156,6 +176,10 @@
     pub burst: Option<CallerBurst>,
     /// Maximum time between two requests of a caller, in milliseconds.
     pub max_pause_millis: u64,
+    /// Bytes that a balancer can send to other processes per second; unlimited if `None`.
+    pub link_bytes_per_second: Option<u64>,
+    /// Whether the clocks of some instances are set back between the starts of processes.
+    pub sets_clocks_back: bool,
     /// Number of datagrams lost per thousand.
     pub loss_per_mille: u32,
     /// Faults with their times in milliseconds.
@@ -254,6 +278,8 @@
     failed_probe_count: u8,
     /// Time of the next tick, in microseconds.
     next_tick_at: u64,
+    /// Time at which its link has sent all queued datagrams, in microseconds.
+    link_free_at: u64,
 }
 
 /// The state of a simulation.
@@ -277,6 +303,9 @@
     /// For each second, the number of requests first attempted in it that were answered in
     /// time, and the number of those that were answered or failed.
     pub results_by_second: Vec<(u32, u32)>,
+    /// Number of datagrams that carried a packet to a host to find out whether its server
+    /// holds the flow.
+    pub probe_count: u64,
     /// Address and port of the caller whose flow is traced.
     pub traced_caller: Option<String>,
     /// Number of process starts so far.
@@ -305,6 +334,7 @@
             oracle: RuleOracle::default(),
             tally: CallerTally::default(),
             results_by_second: vec![(0, 0); (plan.duration_millis / 1_000) as usize + 1],
+            probe_count: 0,
             traced_caller: None,
             start_count: 0,
             host_services: (1..=plan.hosts)
@@ -349,6 +379,7 @@
                 frozen_until: 0,
                 failed_probe_count: 0,
                 next_tick_at: u64::MAX,
+                link_free_at: 0,
             };
             self.processes.insert(*address, process);
             let at = self.random.random_range(0..300_000);
@@ -469,6 +500,11 @@
         }
     }
 
+    /// Returns the time of day in milliseconds since the Unix epoch.
+    fn unix_millis(&self) -> u64 {
+        START_UNIX_MILLIS + self.millis()
+    }
+
     /// Returns the process with this address.
     fn process_mut(&mut self, address: Ipv4Addr) -> &mut Process {
         self.processes
@@ -482,8 +518,11 @@
     fn start_process(&mut self, address: Ipv4Addr) {
         let now = self.time();
         self.start_count += 1;
-        // Not monotonic, since the wall clock may have been set back between two starts.
-        let started_unix_millis = self.start_count * 7_919 % 10_007;
+        let mut started_unix_millis = self.unix_millis();
+        if self.plan.sets_clocks_back && self.start_count.is_multiple_of(SET_BACK_START_INTERVAL) {
+            // The clock of the instance was set back before this start.
+            started_unix_millis -= 300_000;
+        }
         let contacts: Vec<Ipv4Addr> = (1..=self.plan.balancers)
             .map(fixture::balancer_address)
             .collect();
@@ -518,14 +557,6 @@
         process.role = Some(role);
         process.next_tick_at = now.0;
         self.schedule(now.0, Event::Tick(address));
-        if address.octets()[2] == 1 {
-            let host = address.octets()[3];
-            let incarnation = self.servers[usize::from(host) - 1].incarnation;
-            self.schedule(
-                self.now + 50_000,
-                Event::SendHeartbeat { host, incarnation },
-            );
-        }
     }
 
     /// Ends a process and schedules its restart. Only an abrupt end counts as a fault.
@@ -644,10 +675,14 @@
                     }
                 }
                 Destination::Peer(to) => {
+                    self.probe_count += u64::from(is_probe(bytes));
+                    let Some(queue_time) = self.queue_on_link(from, bytes) else {
+                        continue;
+                    };
                     if !self.draw_loss() {
                         let bytes = bytes.to_vec();
                         self.schedule_after(
-                            PEER_DELAY_MICROS,
+                            queue_time + PEER_DELAY_MICROS,
                             Event::PeerDatagram { to, from, bytes },
                         );
                     }
@@ -670,6 +705,24 @@
         }
     }
 
+    /// Queues a datagram on the link of a balancer. Returns the time until it is sent, in
+    /// microseconds, or `None` if the queue is full.
+    fn queue_on_link(&mut self, from: Ipv4Addr, datagram: &[u8]) -> Option<u64> {
+        let is_balancer = from.octets()[2] == 2;
+        let Some(rate) = self.plan.link_bytes_per_second.filter(|_| is_balancer) else {
+            return Some(0);
+        };
+        let now = self.now;
+        let process = self.process_mut(from);
+        let queued_until = process.link_free_at.max(now);
+        if queued_until - now > MAX_LINK_QUEUE_MICROS {
+            return None;
+        }
+        let size = (datagram.len() + DATAGRAM_HEADER_BYTES + carried_data_bytes(datagram)) as u64;
+        process.link_free_at = queued_until + size * 1_000_000 / rate;
+        Some(process.link_free_at - now)
+    }
+
     /// Delivers a datagram to a process, unless one of the two processes is partitioned.
     fn receive_datagram(&mut self, to: Ipv4Addr, from: Ipv4Addr, bytes: &[u8]) {
         let is_known = self.processes.contains_key(&to);
@@ -877,6 +930,23 @@
     }
 }
 
+/// Returns whether a datagram carries a packet that probes a server.
+fn is_probe(datagram: &[u8]) -> bool {
+    matches!(
+        CarryMessage::decode(datagram),
+        Some((CarryMessage::Forward(header), _)) if header.purpose == ForwardPurpose::Probe
+    )
+}
+
+/// Returns the length of the data of the packet in a datagram. The packets of the
+/// simulation are sent without their data.
+fn carried_data_bytes(datagram: &[u8]) -> usize {
+    let packet = CarryMessage::decode(datagram)
+        .filter(|(message, _)| carries_packet(message))
+        .and_then(|(_, payload)| ModelPacket::decode(payload));
+    packet.map_or(0, |packet| usize::from(packet.data_length))
+}
+
 /// Returns whether a packet follows the message.
 fn carries_packet(message: &CarryMessage) -> bool {
     matches!(
--- a/crates/flows/tests/model/world/servers.rs
+++ b/crates/flows/tests/model/world/servers.rs
@@ -15,6 +15,7 @@
 use crate::model::server::ServerReaction;
 use crate::model::world::Event;
 use crate::model::world::HEARTBEAT_INTERVAL_MICROS;
+use crate::model::world::HEARTBEAT_RETRY_MICROS;
 use crate::model::world::ProcessRole;
 use crate::model::world::World;
 
@@ -27,7 +28,11 @@
 impl World {
     /// Starts the server beside a host.
     pub(super) fn start_server(&mut self, host: u8) {
+        let started_unix_millis = self.unix_millis();
         let server = &mut self.servers[usize::from(host) - 1];
+        if !server.is_alive {
+            server.started_unix_millis = started_unix_millis;
+        }
         server.is_alive = true;
         let incarnation = server.incarnation;
         self.send_heartbeat(host, incarnation);
@@ -52,10 +57,13 @@
         server.next_sequence += 1;
         let address = fixture::host_address(host);
         let now = self.time();
-        self.schedule(
-            now.0 + HEARTBEAT_INTERVAL_MICROS,
-            Event::SendHeartbeat { host, incarnation },
-        );
+        let is_host_running = self.processes[&address].role.is_some();
+        let interval = if is_host_running {
+            HEARTBEAT_INTERVAL_MICROS
+        } else {
+            HEARTBEAT_RETRY_MICROS
+        };
+        self.schedule(now.0 + interval, Event::SendHeartbeat { host, incarnation });
         if self.processes[&address].frozen_until > now.0 {
             // The heartbeat call times out.
             return;
