Repeat questions about flows as fast as hosts answer, and probe no host that can tell

Cause: found with a simulated outage on links with a rate. A search that began while a host could not tell went on to probe its server after the host could; and questions were repeated every 40 ms while the first ones still waited on the link, so that links stayed full of questions and no caller was served again.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -8,6 +8,7 @@
 
 mod opening;
 mod peers;
+mod reply_time;
 mod search;
 
 use std::net::Ipv4Addr;
@@ -24,6 +25,7 @@
 use crate::balancer::opening::OPENING_RETRANSMIT_WINDOW;
 use crate::balancer::opening::PendingOpening;
 use crate::balancer::peers::MAX_RECENT_BALANCERS;
+use crate::balancer::reply_time::ReplyTime;
 use crate::balancer::search::PendingSearch;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
@@ -90,6 +92,8 @@
     questions_queued_at: Option<MonotonicTime>,
     /// Earliest time at which the next batch of questions may be sent.
     questions_allowed_at: MonotonicTime,
+    /// How long hosts take to answer questions.
+    reply_time: ReplyTime,
     hello_number: u32,
     next_hello_at: MonotonicTime,
     first_host_joined_at: Option<MonotonicTime>,
@@ -118,6 +122,7 @@
             queued_questions: Vec::new(),
             questions_queued_at: None,
             questions_allowed_at: MonotonicTime::default(),
+            reply_time: ReplyTime::default(),
             hello_number: 0,
             next_hello_at: now,
             first_host_joined_at: None,
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -120,6 +120,10 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
+        let was_relearning = self
+            .members
+            .host(from)
+            .is_some_and(|record| record.is_relearning);
         let outcome = self.members.record_hello(from, hello, now);
         if outcome == HelloOutcome::Stale {
             return;
@@ -142,6 +146,9 @@
                 if is_new && host.is_relearning {
                     self.send_flows_of(from, from, outbox);
                 }
+                if was_relearning && !host.is_relearning {
+                    self.query_decided_host(from, now);
+                }
                 if host.is_stopping && host.server == ServerState::Down {
                     self.remove_hints_of(from);
                     self.members.remove_host(from);
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -37,7 +37,7 @@
 /// Number of hosts queried in the first round of a search.
 const FIRST_ROUND_HOSTS: usize = 64;
 
-/// Time hosts have to answer before the next round of hosts is queried.
+/// Minimum time hosts have to answer before the next round of hosts is queried.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Time for which questions to a host are batched. Callers retransmit a packet after
@@ -49,8 +49,8 @@
 /// second.
 const QUESTION_DATAGRAM_INTERVAL: Duration = Duration::from_millis(1);
 
-/// Time after which hosts that have not answered are queried again: two round trips
-/// between busy processes.
+/// Minimum time after which hosts that have not answered are queried again: two round
+/// trips between busy processes.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Time after which a search is abandoned. Until then it continues while a host may
@@ -125,6 +125,19 @@
         }
     }
 
+    /// Returns the time of the first question or probe that `host` may be answering, or
+    /// `None` if it was not queried.
+    fn asked_at(&self, host: Ipv4Addr) -> Option<MonotonicTime> {
+        let queried_lists = [&self.awaiting, &self.probing, &self.unanswered];
+        let was_queried = queried_lists.iter().any(|list| list.contains(&host));
+        let asked_at = if self.is_retried {
+            self.started_at
+        } else {
+            self.last_query_at
+        };
+        was_queried.then_some(asked_at)
+    }
+
     /// Returns whether no answer to a question or probe is pending.
     fn is_round_complete(&self) -> bool {
         self.awaiting.is_empty() && self.uncertain.is_empty() && self.probing.is_empty()
@@ -270,6 +283,9 @@
             return;
         };
         let search = &mut self.searches[index];
+        if let Some(asked_at) = search.asked_at(host) {
+            self.reply_time.record(now.since(asked_at));
+        }
         search.remove_host(host);
         if !is_certain {
             search.uncertain.push(host);
@@ -293,9 +309,24 @@
         }
     }
 
+    /// Queries a host that has learned which flows its server holds in all pending searches
+    /// that would otherwise probe its server.
+    pub(super) fn query_decided_host(&mut self, host: Ipv4Addr, now: MonotonicTime) {
+        for index in 0..self.searches.len() {
+            let search = &mut self.searches[index];
+            let uncertain_count = search.uncertain.len();
+            search.uncertain.retain(|listed| *listed != host);
+            if search.uncertain.len() < uncertain_count {
+                self.query_host(index, host, now);
+            }
+        }
+    }
+
     /// Times out rounds and searches, and repeats the queries to hosts that have not
     /// answered.
     pub(super) fn advance_searches(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let round_timeout = self.reply_time.timeout(ROUND_TIMEOUT);
+        let retry_interval = self.reply_time.timeout(RETRY_INTERVAL);
         for index in (0..self.searches.len()).rev() {
             let search = &mut self.searches[index];
             if now.since(search.started_at) >= SEARCH_TIMEOUT {
@@ -303,11 +334,11 @@
                 self.record_unowned_flow(&search, now, outbox);
                 continue;
             }
-            if now.since(search.last_query_at) >= ROUND_TIMEOUT {
+            if now.since(search.last_query_at) >= round_timeout {
                 search.time_out_round();
             }
             search.remove_gone_hosts(&self.members, now);
-            if now.since(search.last_query_at) >= RETRY_INTERVAL && search.remaining.is_empty() {
+            if now.since(search.last_query_at) >= retry_interval && search.remaining.is_empty() {
                 search.remaining = std::mem::take(&mut search.unanswered);
                 search.is_retried = true;
             }
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -138,6 +138,7 @@
     ) -> HeartbeatVerdict {
         let is_first = self.server.heartbeats.newest().is_none();
         let order = self.server.heartbeats.record(heartbeat, now);
+        let was_relearning = self.is_relearning;
         match order {
             HeartbeatOrder::Stale => return HeartbeatVerdict::Stale,
             HeartbeatOrder::NewIncarnation => {
@@ -153,6 +154,10 @@
             }
             HeartbeatOrder::InSequence => {}
         }
+        if was_relearning && !self.is_relearning {
+            // Balancers stop probing the server.
+            self.schedule_hellos();
+        }
         self.server.is_ending = false;
         if heartbeat.service != self.identity.service {
             self.set_service(&heartbeat.service, now, outbox);
