Save open flows on the platform, and reset those of a replaced server at once

Cause: after a power cut nobody remembers a flow. A caller learns that its flow has ended from its next request, which is lost if it must not be repeated.

Its next process reads the list while it serves. When a heartbeat shows that the server started after the one that held the flows, they are reset straight to the callers; when it is the same server, they are expected. Lists of another service, old ones, damaged ones and such from a clock that was set back are not used and logged.

--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -119,6 +119,18 @@
         /// Number of routes.
         routes: usize,
     },
+    /// The flows that the former process of a host had saved were read.
+    FormerFlows {
+        /// Number of flows.
+        flows: usize,
+        /// Time since they were saved, in milliseconds; `None` if they seem to have been
+        /// saved in the future.
+        age_millis: Option<u64>,
+        /// Identifier of the server that held them.
+        server_id: String,
+        /// What was decided about them.
+        verdict: FormerFlowsVerdict,
+    },
     /// A datagram was dropped.
     Dropped {
         /// Why it was dropped.
@@ -167,11 +179,13 @@
     Routes,
     /// Datagrams dropped.
     Dropped,
+    /// Lists of flows of a former process.
+    FormerFlows,
 }
 
 impl EventKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Placed,
         Self::PassedOn,
         Self::Offered,
@@ -186,6 +200,7 @@
         Self::PeerLost,
         Self::Routes,
         Self::Dropped,
+        Self::FormerFlows,
     ];
 
     /// Returns the name of the counter.
@@ -205,6 +220,7 @@
             Self::PeerLost => "hyssopstair.peer.lost",
             Self::Routes => "hyssopstair.routes.changes",
             Self::Dropped => "hyssopstair.datagram.dropped",
+            Self::FormerFlows => "hyssopstair.flow.former_lists",
         }
     }
 
@@ -225,6 +241,7 @@
             Self::PeerLost => "Peers removed after a time of silence",
             Self::Routes => "Versions of routes put in force",
             Self::Dropped => "Datagrams dropped",
+            Self::FormerFlows => "Lists of flows that a former process had saved",
         }
     }
 }
@@ -247,6 +264,7 @@
             Self::PeerLost { .. } => EventKind::PeerLost,
             Self::Routes { .. } => EventKind::Routes,
             Self::Dropped { .. } => EventKind::Dropped,
+            Self::FormerFlows { .. } => EventKind::FormerFlows,
         }
     }
 }
@@ -267,11 +285,28 @@
 pub enum BreakReason {
     /// The server that held the flow has ended.
     ServerEnded,
+    /// The server that held the flow, by the list of a former process, has been replaced.
+    ServerReplaced,
     /// No server holds the flow any more: its server returned a packet of it, or every host
     /// that was asked in a search denied it.
     ServerForgot,
 }
 
+/// What a host decided about the flows that its former process had saved.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FormerFlowsVerdict {
+    /// Their server has ended, and the flows are reset.
+    Reset,
+    /// Their server still runs, and the flows are expected to continue.
+    Expected,
+    /// The list is from an instance of another service that had the same address.
+    OtherService,
+    /// The list is older than any flow, or the clock was set back since.
+    Expired,
+    /// The server that runs now seems to be an earlier one.
+    Undecided,
+}
+
 /// The evidence for a state of the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerStateSource {
--- /dev/null
+++ b/crates/flows/src/host/former.rs
@@ -0,0 +1,201 @@
+//! Saves the open flows of a host, and decides about those of its former process.
+
+use std::time::Duration;
+
+use hyssopstair_wire::time::MonotonicTime;
+
+use crate::event::BreakReason;
+use crate::event::FlowEvent;
+use crate::event::FormerFlowsVerdict;
+use crate::heartbeat::ServerHeartbeat;
+use crate::host::FlowHost;
+use crate::host::records::FlowPhase;
+use crate::host::records::FlowRecord;
+use crate::outbox::FlowOutbox;
+use crate::saved_flows::MAX_SAVED_FLOWS;
+use crate::saved_flows::SaveSchedule;
+use crate::saved_flows::SavedFlow;
+use crate::saved_flows::SavedFlowList;
+
+/// Interval at which the host checks whether its flows are to be saved.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Age from which a flow is saved. Flows that end with their first request are younger.
+const MIN_FLOW_AGE: Duration = Duration::from_secs(1);
+
+/// What a host saves, and what its former process has saved.
+#[derive(Debug)]
+pub(super) struct SavedFlowState {
+    schedule: SaveSchedule,
+    next_check_at: MonotonicTime,
+    /// The list of the former process, until the server shows whether it holds the flows.
+    former_list: Option<SavedFlowList>,
+}
+
+impl SavedFlowState {
+    pub(super) fn new(now: MonotonicTime) -> Self {
+        Self {
+            schedule: SaveSchedule::default(),
+            next_check_at: now + CHECK_INTERVAL,
+            former_list: None,
+        }
+    }
+}
+
+impl FlowHost {
+    /// Returns the list of open flows if it is to be saved now, and records that it is.
+    pub fn take_due_flow_list(&mut self, now: MonotonicTime) -> Option<SavedFlowList> {
+        if now < self.saved.next_check_at {
+            return None;
+        }
+        self.saved.next_check_at = now + CHECK_INTERVAL;
+        let heartbeat = self.server.newest_heartbeat()?;
+        let (server_id, server_started_unix_millis) =
+            (heartbeat.id.clone(), heartbeat.started_unix_millis);
+        let flows = self.collect_long_flows(now);
+        if !self.saved.schedule.is_due(&flows, now) {
+            return None;
+        }
+        self.saved.schedule.record(&flows, now);
+        Some(SavedFlowList {
+            saved_unix_millis: self.unix_millis(now),
+            service: self.identity.service.clone(),
+            server_id,
+            server_started_unix_millis,
+            flows,
+        })
+    }
+
+    /// Handles the list that the former process of this host has saved. Its flows are
+    /// reset, or expected, once the heartbeats of the server have shown whether it is the
+    /// one that held them.
+    pub fn receive_former_flows(
+        &mut self,
+        list: SavedFlowList,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let age = self.unix_millis(now).checked_sub(list.saved_unix_millis);
+        let max_age = self.identity.max_flow_age.as_millis();
+        let verdict = match age {
+            _ if list.service != self.identity.service => FormerFlowsVerdict::OtherService,
+            Some(age) if u128::from(age) < max_age => {
+                self.saved.former_list = Some(list);
+                self.resolve_former_flows(now, outbox);
+                return;
+            }
+            // The list is too old, or the clock was set back since it was saved.
+            _ => FormerFlowsVerdict::Expired,
+        };
+        self.record_former_flows(&list, verdict, now, outbox);
+    }
+
+    /// Resets or expects the flows of the former process, if its list was read and a
+    /// heartbeat tells which server runs now.
+    pub(super) fn resolve_former_flows(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let Some(heartbeat) = self.server.newest_heartbeat() else {
+            return;
+        };
+        let Some(list) = self.saved.former_list.take() else {
+            return;
+        };
+        let verdict = judge_former_server(&list, heartbeat);
+        match verdict {
+            FormerFlowsVerdict::Reset => self.reset_former_flows(&list, outbox),
+            FormerFlowsVerdict::Expected => self.expect_former_flows(&list, now),
+            FormerFlowsVerdict::OtherService
+            | FormerFlowsVerdict::Expired
+            | FormerFlowsVerdict::Undecided => {}
+        }
+        self.record_former_flows(&list, verdict, now, outbox);
+    }
+
+    /// Resets the flows of the former process because nothing listens at the server's
+    /// address, so the server that held them has ended.
+    pub(super) fn abandon_former_flows(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        if let Some(list) = self.saved.former_list.take() {
+            self.reset_former_flows(&list, outbox);
+            self.record_former_flows(&list, FormerFlowsVerdict::Reset, now, outbox);
+        }
+    }
+
+    /// Returns the open flows that are old enough to be saved, sorted by flow.
+    fn collect_long_flows(&self, now: MonotonicTime) -> Vec<SavedFlow> {
+        let mut flows: Vec<SavedFlow> = self
+            .flows
+            .iter()
+            .filter(|(_, record)| {
+                let age = now.since(record.offered_at);
+                record.phase == FlowPhase::Open && record.acknowledged != 0 && age >= MIN_FLOW_AGE
+            })
+            .map(|(flow, record)| SavedFlow {
+                flow: *flow,
+                acknowledged: record.acknowledged,
+            })
+            .take(MAX_SAVED_FLOWS)
+            .collect();
+        flows.sort_unstable_by_key(|saved| saved.flow);
+        flows
+    }
+
+    fn reset_former_flows(&mut self, list: &SavedFlowList, outbox: &mut FlowOutbox) {
+        for saved in &list.flows {
+            let is_held = self.flows.get(&saved.flow).is_some_and(|record| {
+                !matches!(record.phase, FlowPhase::Probed | FlowPhase::Absent)
+            });
+            if is_held {
+                // The caller has opened the flow anew at the present server.
+                continue;
+            }
+            outbox.enqueue_reset(saved.flow, saved.acknowledged);
+            outbox.record_event(FlowEvent::Broken {
+                flow: saved.flow,
+                reason: BreakReason::ServerReplaced,
+            });
+        }
+    }
+
+    fn expect_former_flows(&mut self, list: &SavedFlowList, now: MonotonicTime) {
+        for saved in &list.flows {
+            if self.is_relearning && self.flows.get(&saved.flow).is_none() {
+                let record = FlowRecord::reported(now);
+                self.flows.insert(saved.flow, record);
+            }
+        }
+    }
+
+    fn record_former_flows(
+        &self,
+        list: &SavedFlowList,
+        verdict: FormerFlowsVerdict,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let age = self.unix_millis(now).checked_sub(list.saved_unix_millis);
+        outbox.record_event(FlowEvent::FormerFlows {
+            flows: list.flows.len(),
+            age_millis: age,
+            server_id: list.server_id.clone(),
+            verdict,
+        });
+    }
+
+    /// Returns the time of day by the clock at the start of the process.
+    pub(super) fn unix_millis(&self, now: MonotonicTime) -> u64 {
+        self.identity.started_unix_millis + now.since(self.created_at).as_millis() as u64
+    }
+}
+
+/// Decides about the flows of a list by the server that sent `heartbeat`: a server that
+/// started later has replaced the one that held them.
+fn judge_former_server(list: &SavedFlowList, heartbeat: &ServerHeartbeat) -> FormerFlowsVerdict {
+    let started = heartbeat.started_unix_millis;
+    if started > list.server_started_unix_millis {
+        FormerFlowsVerdict::Reset
+    } else if started == list.server_started_unix_millis && heartbeat.id == list.server_id {
+        FormerFlowsVerdict::Expected
+    } else {
+        // The heartbeat is from an earlier server, or the clock was set back.
+        FormerFlowsVerdict::Undecided
+    }
+}
--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -9,6 +9,7 @@
 //! relearns it: from packets of the server, from balancers, and by delivering packets
 //! of unknown flows to the server, which returns those that it does not accept.
 
+mod former;
 mod load;
 mod opening;
 mod peers;
@@ -28,6 +29,7 @@
 
 use crate::event::BreakReason;
 use crate::event::FlowEvent;
+use crate::host::former::SavedFlowState;
 use crate::host::load::LoadMeter;
 use crate::host::records::FlowPhase;
 use crate::host::records::FlowRecord;
@@ -80,6 +82,7 @@
     flows: FlowTable<FlowRecord>,
     load: LoadMeter,
     server: ServerMonitor,
+    saved: SavedFlowState,
     /// Whether the server may hold flows that are missing from the table.
     is_relearning: bool,
     is_stopping: bool,
@@ -101,6 +104,7 @@
             flows: FlowTable::default(),
             load: LoadMeter::new(now),
             server: ServerMonitor::new(now),
+            saved: SavedFlowState::new(now),
             // The server may have been started before this process and hold flows.
             is_relearning: true,
             is_stopping: false,
--- a/crates/flows/src/host/peers.rs
+++ b/crates/flows/src/host/peers.rs
@@ -49,8 +49,7 @@
                 }
                 for flow in flows {
                     if self.flows.get(flow).is_none() {
-                        self.flows
-                            .insert(*flow, FlowRecord::reported_by_balancer(now));
+                        self.flows.insert(*flow, FlowRecord::reported(now));
                     }
                 }
             }
--- a/crates/flows/src/host/records.rs
+++ b/crates/flows/src/host/records.rs
@@ -128,9 +128,9 @@
         }
     }
 
-    /// Creates the record of a flow that the server holds according to a balancer.
-    /// Balancers may be wrong, so the server is probed.
-    pub(super) fn reported_by_balancer(now: MonotonicTime) -> Self {
+    /// Creates the record of a flow that the server holds according to a balancer or to the
+    /// list of a former process. They may be wrong, so the server is probed.
+    pub(super) fn reported(now: MonotonicTime) -> Self {
         Self {
             phase: FlowPhase::Probed,
             ..Self::observed(now)
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -104,6 +104,11 @@
             .map(|heartbeat| heartbeat.slots.max(1))
     }
 
+    /// Returns the newest heartbeat, or `None` before the first.
+    pub(super) fn newest_heartbeat(&self) -> Option<&ServerHeartbeat> {
+        self.heartbeats.newest()
+    }
+
     /// Records that the server has sent a packet or accepted a connection.
     pub(super) fn record_response(&mut self, now: MonotonicTime) {
         self.last_response_at = now;
@@ -136,7 +141,7 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) -> HeartbeatVerdict {
-        let is_first = self.server.heartbeats.newest().is_none();
+        let is_first = self.server.newest_heartbeat().is_none();
         let order = self.server.heartbeats.record(heartbeat, now);
         let was_relearning = self.is_relearning;
         match order {
@@ -168,6 +173,7 @@
             ServerState::Ready
         };
         self.set_server_state(state, ServerStateSource::Heartbeat, outbox);
+        self.resolve_former_flows(now, outbox);
         HeartbeatVerdict::Accepted
     }
 
@@ -178,8 +184,7 @@
     fn is_first_host_of(&self, heartbeat: &ServerHeartbeat, now: MonotonicTime) -> bool {
         let host_started = self.identity.started_unix_millis;
         let server_started = heartbeat.started_unix_millis;
-        let uptime = now.since(self.created_at).as_millis() as u64;
-        let Some(server_age) = (host_started + uptime).checked_sub(server_started) else {
+        let Some(server_age) = self.unix_millis(now).checked_sub(server_started) else {
             // The clock was set back after the server had started.
             return false;
         };
@@ -236,6 +241,7 @@
                 if before != ServerState::Down {
                     self.reset_all_flows(outbox);
                 }
+                self.abandon_former_flows(now, outbox);
                 self.is_relearning = false;
                 self.server.unanswered_since = None;
             }
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod ranking;
 pub mod route_transfer;
 pub mod routes;
+pub mod saved_flows;
 pub mod table;
--- a/crates/flows/tests/fuzz.rs
+++ b/crates/flows/tests/fuzz.rs
@@ -57,6 +57,7 @@
         burst: None,
         max_pause_millis: 300,
         link_bytes_per_second: None,
+        saves_flows: true,
         sets_clocks_back: true,
         loss_per_mille: random.random_range(0..=5),
         faults: Vec::new(),
--- a/crates/flows/tests/heavy.rs
+++ b/crates/flows/tests/heavy.rs
@@ -54,6 +54,7 @@
         burst: None,
         max_pause_millis: 200,
         link_bytes_per_second: None,
+        saves_flows: false,
         sets_clocks_back: false,
         loss_per_mille: 0,
         faults: Vec::new(),
--- a/crates/flows/tests/outage.rs
+++ b/crates/flows/tests/outage.rs
@@ -7,6 +7,8 @@
 mod fixture;
 mod model;
 
+use expect_test::expect;
+
 use crate::model::world::Fault;
 use crate::model::world::PlacingPolicy;
 use crate::model::world::World;
@@ -19,7 +21,7 @@
 /// balancers, which carry about ten times as many flows.
 const LINK_BYTES_PER_SECOND: u64 = 150_000;
 
-/// Returns a plan in which callers are busy for a third of their time.
+/// Returns a plan in which callers are idle for most of the time.
 fn outage_plan() -> WorldPlan {
     WorldPlan {
         balancers: 8,
@@ -33,6 +35,7 @@
         burst: None,
         max_pause_millis: 600,
         link_bytes_per_second: Some(LINK_BYTES_PER_SECOND),
+        saves_flows: true,
         sets_clocks_back: false,
         loss_per_mille: 0,
         faults: vec![(OUTAGE_MILLIS, Fault::LosePowerTogether)],
@@ -56,3 +59,33 @@
         );
     }
 }
+
+// Most flows are idle when power is lost. A caller that learns of it before its next
+// request opens a new flow for the request; otherwise, the request is lost.
+#[test]
+fn callers_lose_fewer_requests_if_hosts_have_saved_their_flows() {
+    let mut results = Vec::new();
+    for saves_flows in [false, true] {
+        let mut broken_count = 0;
+        for seed in 0..4 {
+            let mut world = World::new(
+                WorldPlan {
+                    hosts: 30,
+                    link_bytes_per_second: None,
+                    max_pause_millis: 2_000,
+                    saves_flows,
+                    ..outage_plan()
+                },
+                seed,
+            );
+            world.run();
+            assert!(world.oracle.violations().is_empty());
+            broken_count += world.tally.broken;
+        }
+        results.push(format!("saves flows: {saves_flows}, lost: {broken_count}"));
+    }
+    expect![[r#"
+        saves flows: false, lost: 522
+        saves flows: true, lost: 465"#]]
+    .assert_eq(&results.join("\n"));
+}
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -10,6 +10,7 @@
 use hyssopstair_flows::heartbeat::ServerHeartbeat;
 use hyssopstair_flows::host::CheckResult;
 use hyssopstair_flows::routes::RouteTable;
+use hyssopstair_flows::saved_flows::SavedFlowList;
 use tokio::sync::oneshot;
 
 /// Capacity of the command queue; a sender waits while the queue is full.
@@ -39,6 +40,8 @@
     },
     /// Handles the result of a check of the server.
     CheckDone(CheckResult),
+    /// Handles the open flows that the former process of the host has saved.
+    FormerFlows(SavedFlowList),
     /// Logs that a dependency failed or recovered.
     DependencyChanged {
         /// Name of the dependency.
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -271,6 +271,19 @@
             "put new routes in force",
             json!({ "version": version, "routes": routes }),
         ),
+        FlowEvent::FormerFlows {
+            flows,
+            age_millis,
+            server_id,
+            verdict,
+        } => (
+            "host",
+            "read the flows of a former process",
+            json!({
+                "flows": flows, "age_ms": age_millis, "server": server_id,
+                "verdict": format!("{verdict:?}"),
+            }),
+        ),
         FlowEvent::Dropped { reason } => (
             "process",
             "dropped a datagram",
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -34,6 +34,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::carry::checks::check_server;
@@ -98,6 +99,8 @@
     status: ProcessStatus,
     command_sender: mpsc::Sender<CarryCommand>,
     command_receiver: mpsc::Receiver<CarryCommand>,
+    /// Passes the host's encoded list of open flows to the task that saves it.
+    flow_list_sender: watch::Sender<Vec<u8>>,
     journal: EventJournal,
     metrics: CarryMetrics,
     /// Time at which the signal to stop arrived.
@@ -136,6 +139,7 @@
             status,
             command_sender,
             command_receiver,
+            flow_list_sender: watch::Sender::new(Vec::new()),
             journal: EventJournal::start(),
             metrics,
             stop_requested_at: None,
@@ -165,6 +169,8 @@
                 tokio::spawn(task.maintain_registration());
             }
             CarryRole::Host => {
+                let flow_lists = self.flow_list_sender.subscribe();
+                tokio::spawn(task.clone().maintain_saved_flows(flow_lists));
                 tokio::spawn(task.poll_missing_state());
             }
         }
@@ -273,6 +279,7 @@
             self.forwarder.tick(now, &mut self.outbox);
         }
         self.start_due_check(now);
+        self.save_due_flows(now);
         self.metrics
             .flow_count
             .set(self.forwarder.flow_count() as i64);
@@ -310,6 +317,16 @@
         });
     }
 
+    /// Passes on the host's open flows if they are to be saved now.
+    fn save_due_flows(&mut self, now: MonotonicTime) {
+        let CarryPart::Host(host) = &mut self.forwarder else {
+            return;
+        };
+        if let Some(list) = host.take_due_flow_list(now) {
+            self.flow_list_sender.send_replace(list.encode());
+        }
+    }
+
     fn handle_command(&mut self, command: CarryCommand) {
         let now = self.clock.now();
         match command {
@@ -342,6 +359,11 @@
                     host.receive_check_result(result, now, &mut self.outbox);
                 }
             }
+            CarryCommand::FormerFlows(list) => {
+                if let CarryPart::Host(host) = &mut self.forwarder {
+                    host.receive_former_flows(list, now, &mut self.outbox);
+                }
+            }
             CarryCommand::DependencyChanged { name, error } => {
                 let message = if error.is_some() {
                     "dependency failed"
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -11,8 +11,12 @@
 use hyssopstair_adapter::configuration::decode_configuration;
 use hyssopstair_adapter::store;
 use hyssopstair_adapter::store::StoreItem;
+use hyssopstair_flows::saved_flows::SavedFlowList;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::carry::command::CarryCommand;
 use crate::carry::command::ProcessStatus;
@@ -37,6 +41,16 @@
 /// fail.
 const RENEW_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time to live of a host's saved flows: no flow of the users is older than 60 s.
+const SAVED_FLOWS_TTL: Duration = Duration::from_secs(120);
+
+/// Age from which the lease of the saved flows is renewed.
+const SAVED_FLOWS_RENEW_AGE: Duration = Duration::from_secs(40);
+
+/// Time after the start of a host for which it tries to read the flows that its former
+/// process has saved. Later, callers have found out by themselves.
+const FORMER_FLOWS_PERIOD: Duration = Duration::from_secs(20);
+
 /// Interval at which a host checks for state that its peers have not sent, and reads it
 /// from the store.
 const HOST_POLL_INTERVAL: Duration = Duration::from_millis(700);
@@ -140,6 +154,100 @@
         }
     }
 
+    /// Reads the flows that the former process of the host has saved, and then saves the
+    /// host's own flows under a leased key whenever `flow_lists` changes.
+    pub async fn maintain_saved_flows(self, mut flow_lists: watch::Receiver<Vec<u8>>) {
+        let mut connection = StoreConnection::new(self.store_address);
+        let read = self.read_former_flows(&mut connection);
+        if timeout(FORMER_FLOWS_PERIOD, read).await.is_err() {
+            self.report_saved_flows("gave up reading the former flows")
+                .await;
+        }
+        let mut lease = FlowsLease::default();
+        while flow_lists.changed().await.is_ok() {
+            let encoded_list = flow_lists.borrow_and_update().clone();
+            let result = self.save_flows(&mut connection, &mut lease, &encoded_list);
+            if let Err(error) = result.await {
+                // The next list replaces this one.
+                lease = FlowsLease::default();
+                self.report_saved_flows(&error.to_string()).await;
+            }
+        }
+    }
+
+    /// Reads the flows that the former process of the host has saved, and passes them to
+    /// the event loop. Tries until the store responds.
+    async fn read_former_flows(&self, connection: &mut StoreConnection) {
+        let key = self.saved_flows_key();
+        let item = loop {
+            match connection.call(store::get_key(&key), Duration::ZERO).await {
+                Ok(body) => break store::decode_item(&body),
+                Err(StoreError::Rejected(StatusCode::NOT_FOUND)) => return,
+                Err(_) => sleep(RETRY_DELAY).await,
+            }
+        };
+        let value = match item {
+            Ok((item, _)) if item.key != key => {
+                let error = format!("store returned another key: {}", item.key);
+                return self.report_saved_flows(&error).await;
+            }
+            Ok((item, _)) => item.value.unwrap_or_default(),
+            Err(error) => return self.report_saved_flows(&error.to_string()).await,
+        };
+        match SavedFlowList::decode(&value) {
+            Ok(list) => self.send_command(CarryCommand::FormerFlows(list)).await,
+            Err(error) => {
+                let error = format!("rejected the former flows: {error:?}");
+                self.report_saved_flows(&error).await;
+            }
+        }
+    }
+
+    /// Writes the encoded list of flows under the host's key, and grants or renews its
+    /// lease where it is due.
+    async fn save_flows(
+        &self,
+        connection: &mut StoreConnection,
+        lease: &mut FlowsLease,
+        encoded_list: &[u8],
+    ) -> Result<(), StoreError> {
+        let lease_id = match lease.id {
+            Some(id) if lease.renewed_at.elapsed() < SAVED_FLOWS_RENEW_AGE => id,
+            Some(id) => match renew_lease(connection, id).await? {
+                Some(id) => lease.renew(id),
+                None => self.grant_flows_lease(connection, lease).await?,
+            },
+            None => self.grant_flows_lease(connection, lease).await?,
+        };
+        let request = store::put_key(&self.saved_flows_key(), encoded_list, lease_id);
+        connection.call(request, Duration::ZERO).await?;
+        Ok(())
+    }
+
+    async fn grant_flows_lease(
+        &self,
+        connection: &mut StoreConnection,
+        lease: &mut FlowsLease,
+    ) -> Result<u64, StoreError> {
+        let request = store::grant_lease(SAVED_FLOWS_TTL);
+        let body = connection.call(request, Duration::ZERO).await?;
+        let (lease_id, _) = store::decode_lease(&body)?;
+        Ok(lease.renew(lease_id))
+    }
+
+    fn saved_flows_key(&self) -> String {
+        format!("{}{}", store::SAVED_FLOWS_PREFIX, self.address)
+    }
+
+    /// Reports that saved flows could not be read or written. Serving goes on without them.
+    async fn report_saved_flows(&self, error: &str) {
+        self.send_command(CarryCommand::DependencyChanged {
+            name: "saved flows",
+            error: Some(error.to_owned()),
+        })
+        .await;
+    }
+
     /// Registers a balancer under a new lease, and returns the ID of the lease.
     async fn register(&self, connection: &mut StoreConnection) -> Result<u64, StoreError> {
         let _ = self.list_balancers(connection).await;
@@ -237,6 +345,31 @@
     }
 }
 
+/// The lease of a host's saved flows.
+#[derive(Debug)]
+struct FlowsLease {
+    id: Option<u64>,
+    renewed_at: Instant,
+}
+
+impl Default for FlowsLease {
+    fn default() -> Self {
+        Self {
+            id: None,
+            renewed_at: Instant::now(),
+        }
+    }
+}
+
+impl FlowsLease {
+    /// Records that the lease was granted or renewed now, and returns its ID.
+    fn renew(&mut self, id: u64) -> u64 {
+        self.id = Some(id);
+        self.renewed_at = Instant::now();
+        id
+    }
+}
+
 /// Renews a lease and returns its ID, or `None` if the lease has expired.
 async fn renew_lease(
     connection: &mut StoreConnection,
