Keep the flows that a restarted server has accepted before its first heartbeat

Cause: a host that is suspended while its server restarts passes new flows to it before its first heartbeat. That heartbeat then reset all flows, also those that live.

The oracle counts resets by hosts whatever faults there were. Two tests let the new server start 400 ms later instead of 8 s, which lay in the future.

--- a/crates/flows/src/heartbeat.rs
+++ b/crates/flows/src/heartbeat.rs
@@ -70,6 +70,12 @@
         self.newest.as_ref()
     }
 
+    /// Returns the time at which the newest heartbeat arrived, or the start of the clock
+    /// before the first.
+    pub fn newest_received_at(&self) -> MonotonicTime {
+        self.newest_received_at
+    }
+
     /// Classifies a heartbeat, and stores it as the newest one unless it is stale.
     ///
     /// An incarnation with a later start time is newer. However, if an incarnation with an
--- a/crates/flows/src/host/load.rs
+++ b/crates/flows/src/host/load.rs
@@ -67,9 +67,13 @@
         self.answer_micros
     }
 
-    /// Counts a new flow whose request is expected.
-    pub(super) fn add_offer(&mut self, now: MonotonicTime) {
-        self.offers.push(now);
+    /// Counts a new flow whose request is expected, and whose opening packet was delivered
+    /// at `offered_at`.
+    pub(super) fn add_offer(&mut self, offered_at: MonotonicTime) {
+        let index = self
+            .offers
+            .partition_point(|earlier| *earlier <= offered_at);
+        self.offers.insert(index, offered_at);
     }
 
     /// Stops counting a new flow whose opening packet was delivered at `offered_at`.
--- a/crates/flows/src/host/records.rs
+++ b/crates/flows/src/host/records.rs
@@ -273,9 +273,29 @@
 
     /// Resets all open flows because their server has ended or was replaced.
     pub(super) fn reset_all_flows(&mut self, outbox: &mut FlowOutbox) {
+        self.reset_flows_before(None, outbox);
+    }
+
+    /// Resets the open flows of a server that has ended. If the present one started at
+    /// `replaced_at`, flows that were opened since are its own, and are kept: its first
+    /// heartbeat arrives later than the first flows if the host was suspended.
+    pub(super) fn reset_flows_before(
+        &mut self,
+        replaced_at: Option<MonotonicTime>,
+        outbox: &mut FlowOutbox,
+    ) {
         self.deny_probed_flows(outbox);
+        self.load.clear();
         for (flow, record) in self.flows.iter_mut() {
             let was_open = matches!(record.phase, FlowPhase::Open | FlowPhase::Offered);
+            if was_open && replaced_at.is_some_and(|replaced_at| record.offered_at >= replaced_at) {
+                if record.phase == FlowPhase::Offered {
+                    self.load.add_offer(record.offered_at);
+                } else if record.request_started_at.is_some() {
+                    self.load.begin_request();
+                }
+                continue;
+            }
             let position = record.reset_position();
             record.request_started_at = None;
             if record.phase != FlowPhase::Absent {
@@ -289,7 +309,6 @@
                 });
             }
         }
-        self.load.clear();
     }
 
     /// Removes expired records in the next shards of the table, and stops counting
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -142,12 +142,14 @@
         outbox: &mut FlowOutbox,
     ) -> HeartbeatVerdict {
         let is_first = self.server.newest_heartbeat().is_none();
+        let last_heartbeat_at = self.server.heartbeats.newest_received_at();
         let order = self.server.heartbeats.record(heartbeat, now);
         let was_relearning = self.is_relearning;
         match order {
             HeartbeatOrder::Stale => return HeartbeatVerdict::Stale,
             HeartbeatOrder::NewIncarnation => {
-                self.reset_all_flows(outbox);
+                let replaced_at = self.replacement_time(heartbeat, last_heartbeat_at, now);
+                self.reset_flows_before(Some(replaced_at), outbox);
                 self.is_relearning = false;
                 self.server.started_at = Some(now);
             }
@@ -177,6 +179,24 @@
         HeartbeatVerdict::Accepted
     }
 
+    /// Returns the time before which all open flows belong to the server whose last
+    /// heartbeat arrived at `last_heartbeat_at`, and which the sender of `heartbeat` has
+    /// replaced.
+    fn replacement_time(
+        &self,
+        heartbeat: &ServerHeartbeat,
+        last_heartbeat_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> MonotonicTime {
+        let started_at = self.monotonic_time(heartbeat.started_unix_millis);
+        if started_at > now {
+            // The clocks differ, so the start time says nothing.
+            last_heartbeat_at
+        } else {
+            started_at.max(last_heartbeat_at)
+        }
+    }
+
     /// Returns whether this process was the first beside the server that sent `heartbeat`,
     /// by the time of day at which both started. A heartbeat that no process received is
     /// repeated at once, so one that arrives late in the life of the server may follow
--- a/crates/flows/tests/host_restart.rs
+++ b/crates/flows/tests/host_restart.rs
@@ -177,7 +177,7 @@
     );
     outbox.clear();
     let mut new_heartbeat = heartbeat(1);
-    new_heartbeat.started_unix_millis += 8_000;
+    new_heartbeat.started_unix_millis += 400;
     host.receive_heartbeat(&new_heartbeat, at(500), &mut outbox);
     expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&take_output(&mut outbox));
     // A late heartbeat of the previous incarnation changes no state.
@@ -227,7 +227,7 @@
     );
     outbox.clear();
     let mut new_heartbeat = heartbeat(1);
-    new_heartbeat.started_unix_millis += 8_000;
+    new_heartbeat.started_unix_millis += 400;
     host.receive_heartbeat(&new_heartbeat, at(500), &mut outbox);
     // The server never accepted flow 4002, and a balancer offers it to another host.
     expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&take_output(&mut outbox));
@@ -453,3 +453,32 @@
     expect!["Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: false } + 0 bytes"]
         .assert_eq(&ask_after_heartbeat(&first_heartbeat));
 }
+
+// A host that is suspended while its server restarts gets opening packets of new flows
+// before the server's next heartbeat.
+#[test]
+fn a_new_incarnation_of_the_server_keeps_the_flows_that_it_has_accepted() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_ready_host(1);
+    open_flow(&mut host, 4_001, 20, &mut outbox);
+    open_flow(&mut host, 4_002, 900, &mut outbox);
+    outbox.clear();
+    let mut new_heartbeat = heartbeat(1);
+    new_heartbeat.started_unix_millis += 400;
+    host.receive_heartbeat(&new_heartbeat, at(1_500), &mut outbox);
+    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&take_output(&mut outbox));
+}
+
+#[test]
+fn flows_since_the_last_heartbeat_are_kept_if_the_clocks_of_host_and_server_differ() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_ready_host(1);
+    open_flow(&mut host, 4_001, 20, &mut outbox);
+    host.receive_heartbeat(&heartbeat(2), at(800), &mut outbox);
+    open_flow(&mut host, 4_002, 900, &mut outbox);
+    outbox.clear();
+    let mut new_heartbeat = heartbeat(1);
+    new_heartbeat.started_unix_millis += 300_000;
+    host.receive_heartbeat(&new_heartbeat, at(1_500), &mut outbox);
+    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&take_output(&mut outbox));
+}
--- a/crates/flows/tests/model/world/callers.rs
+++ b/crates/flows/tests/model/world/callers.rs
@@ -220,8 +220,11 @@
             self.count_failed_request(caller);
         }
         if let Some(owner) = self.find_owner(&flow, acknowledged) {
-            let is_counted = self.is_undisturbed(fixture::host_address(owner))
+            let is_sent_by_host = sent_by.is_some_and(|sender| sender.octets()[2] == 1);
+            let is_undisturbed = self.is_undisturbed(fixture::host_address(owner))
                 && sent_by.is_none_or(|sender| self.is_undisturbed(sender));
+            // A host is to know its own server, whatever faults there were.
+            let is_counted = is_undisturbed || is_sent_by_host;
             let millis = self.millis();
             self.oracle.record_reset(flow, is_counted, millis);
         }
