Let watches of the configuration wait longer in large fleets

Cause: each balancer watches the configuration and repeats the watch every 4 s, 15 calls a second with 59 balancers.

The first watch after a change takes a random part of the time, so that some watch ends soon after any moment and shows a store whose open connections have gone silent.

--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -3,6 +3,9 @@
 //! Balancers watch the configuration and register themselves. Hosts read from the
 //! store only what they have not received from a peer.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -23,9 +26,19 @@
 use crate::carry::store::StoreConnection;
 use crate::carry::store::StoreError;
 
-/// Time for which a watch waits for a change. A silent connection is detected after this
-/// time; until then, new versions arrive from peers.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+/// Minimum time for which a watch waits for a change. A silent connection is detected after
+/// the time of the watch; until then, new versions arrive from peers.
+const MIN_WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Maximum time for which a watch waits for a change.
+const MAX_WATCH_TIMEOUT: Duration = Duration::from_secs(16);
+
+/// Number of balancers up to which watches wait for [`MIN_WATCH_TIMEOUT`]. With more of
+/// them, all together make as many calls.
+const MIN_TIMEOUT_BALANCERS: u32 = 6;
+
+/// Shortest time of a watch after a change, in parts of the usual one.
+const MIN_FIRST_WATCH_PERCENT: u64 = 10;
 
 /// Delay between a change and the next watch, so that a burst of changes costs few
 /// calls. A change has to be in force within three seconds.
@@ -74,10 +87,15 @@
         let mut connection = StoreConnection::new(self.store_address);
         let mut known_revision: Option<u64> = None;
         let mut is_store_lost = false;
+        let mut has_changed = true;
         loop {
             let result = match known_revision {
                 None => self.read_configuration(&mut connection).await,
-                Some(revision) => self.wait_for_change(&mut connection, revision).await,
+                Some(revision) => {
+                    let timeout = self.watch_timeout(has_changed, revision);
+                    self.wait_for_change(&mut connection, revision, timeout)
+                        .await
+                }
             };
             match result {
                 Ok(revision) => {
@@ -85,7 +103,8 @@
                         self.report_store_status(None).await;
                     }
                     is_store_lost = false;
-                    if known_revision.is_some_and(|known_revision| revision > known_revision) {
+                    has_changed = known_revision.is_none_or(|known| revision > known);
+                    if has_changed && known_revision.is_some() {
                         sleep(WATCH_DELAY).await;
                     }
                     known_revision = Some(revision);
@@ -296,15 +315,33 @@
         Ok(store_revision)
     }
 
+    /// Returns the time for which the next watch waits. Changes reach all balancers at the
+    /// same time, so the first watch after one takes a random part of the time; at any
+    /// moment, the watch of some balancer then ends soon and shows whether the store's
+    /// connections have gone silent.
+    fn watch_timeout(&self, has_changed: bool, revision: u64) -> Duration {
+        let balancer_count = self.status.balancer_count() as u32 + 1;
+        let timeout = (MIN_WATCH_TIMEOUT * balancer_count / MIN_TIMEOUT_BALANCERS)
+            .clamp(MIN_WATCH_TIMEOUT, MAX_WATCH_TIMEOUT);
+        if !has_changed {
+            return timeout;
+        }
+        let mut hasher = DefaultHasher::new();
+        (self.address, revision).hash(&mut hasher);
+        let percent = MIN_FIRST_WATCH_PERCENT + hasher.finish() % (101 - MIN_FIRST_WATCH_PERCENT);
+        timeout * percent as u32 / 100
+    }
+
     /// Waits for a change after a revision, and applies the newest configuration.
     /// Returns the revision at which the next watch starts.
     async fn wait_for_change(
         &self,
         connection: &mut StoreConnection,
         revision: u64,
+        timeout: Duration,
     ) -> Result<u64, StoreError> {
-        let request = store::watch_prefix(store::CONFIGURATION_KEY, revision, WATCH_TIMEOUT);
-        let body = connection.call(request, WATCH_TIMEOUT).await?;
+        let request = store::watch_prefix(store::CONFIGURATION_KEY, revision, timeout);
+        let body = connection.call(request, timeout).await?;
         let items = store::decode_items(&body)?;
         if let Some(item) = items.items.into_iter().next_back() {
             self.apply_configuration(item).await;
