Ping suspect members once a second, so that they learn of it before they are given up

Change: each second, the next suspect member is pinged with its known state. That is at most a ping a second, and none while nobody is suspect.

--- a/crates/roster/src/members.rs
+++ b/crates/roster/src/members.rs
@@ -152,6 +152,21 @@
         record.map(|record| record.address)
     }
 
+    /// Returns the address of the first suspect member after `address`, or of the first one
+    /// of all if there is none.
+    pub fn next_suspect(&self, address: SocketAddrV4) -> Option<SocketAddrV4> {
+        let next = self
+            .absences
+            .partition_point(|record| record.address <= address);
+        let (before, after) = self.absences.split_at(next);
+        let is_suspect = |record: &&AbsenceRecord| {
+            let entry = self.find(record.address);
+            entry.is_some_and(|entry| entry.state == MemberState::Suspect)
+        };
+        let record = after.iter().chain(before).find(is_suspect);
+        record.map(|record| record.address)
+    }
+
     /// Returns the entries with addresses above `after`, or all if it is `None`.
     pub fn entries_above(&self, after: Option<SocketAddrV4>) -> &[MemberEntry] {
         let start = match after {
--- a/crates/roster/src/repair.rs
+++ b/crates/roster/src/repair.rs
@@ -68,6 +68,19 @@
         }
     }
 
+    /// Pings a suspect member, which otherwise may not learn that it is suspect: the members
+    /// that know of it may have gossiped about it while a partition separated them.
+    pub(crate) fn run_suspect_round(
+        &mut self,
+        actions: &mut Vec<RosterAction>,
+        now: MonotonicTime,
+    ) {
+        if let Some(suspect) = self.table.next_suspect(self.last_suspect_pinged) {
+            self.last_suspect_pinged = suspect;
+            self.send_ping(actions, suspect, now);
+        }
+    }
+
     /// Schedules the next digest within the repair interval, unless it is due
     /// earlier.
     pub(crate) fn schedule_repair_digest(&mut self, now: MonotonicTime) {
--- a/crates/roster/src/state.rs
+++ b/crates/roster/src/state.rs
@@ -69,6 +69,8 @@
     pub(crate) contacts: ContactList,
     /// The address of the absent member that was pinged last.
     pub(crate) last_absent_pinged: SocketAddrV4,
+    /// The suspect member that was pinged last.
+    pub(crate) last_suspect_pinged: SocketAddrV4,
     /// The change count of the table when the watched members were chosen.
     pub(crate) watched_change_count: u64,
     pub(crate) next_ping_number: u32,
@@ -96,6 +98,7 @@
             budget: SendBudget::default(),
             contacts: ContactList::default(),
             last_absent_pinged: own_entry.process.address,
+            last_suspect_pinged: own_entry.process.address,
             watched_change_count: 0,
             next_ping_number: 0,
             config_version: 0,
@@ -217,6 +220,7 @@
             self.table.expire_suspects(now);
             self.table.evict_tombstones(now);
             self.run_probe_round(&mut actions, now);
+            self.run_suspect_round(&mut actions, now);
         }
         if now >= self.schedule.digest {
             self.schedule_digest(now);
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hyssopstair_roster::members::TOMBSTONE_TTL;
+use hyssopstair_roster::state::RosterAction;
 use hyssopstair_roster::state::RosterState;
 use hyssopstair_wire::address::HostIncarnation;
 use hyssopstair_wire::address::ProcessId;
@@ -72,6 +73,38 @@
     assert!(elapsed.is_some());
 }
 
+// Members that a partition has separated for some seconds hold each other suspect, and
+// have ended the gossip about it when the partition heals. Each must learn of it before
+// it is declared gone, 8 s after the suspicion, even if some pings are lost.
+#[test]
+fn every_suspect_is_pinged_twice_before_it_expires() {
+    let mut roster = RosterState::new(entry(0, 1), SEED);
+    let start = MonotonicTime::default();
+    let suspects: Vec<MemberEntry> = (1..=3)
+        .map(|number| MemberEntry {
+            state: MemberState::Suspect,
+            ..entry(number, 1)
+        })
+        .collect();
+    roster.merge_entries(&suspects, start);
+    let mut ping_counts = vec![0; suspects.len()];
+    for step in 0..39 {
+        let now = start + Duration::from_millis(200) * step;
+        for RosterAction::Send { to, message } in roster.tick(0, now) {
+            let suspect = suspects
+                .iter()
+                .position(|entry| entry.process.address == to);
+            if let (Some(index), ControlBody::Ping { .. }) = (suspect, &message.body) {
+                ping_counts[index] += 1;
+            }
+        }
+    }
+    assert!(
+        ping_counts.iter().all(|count| *count >= 2),
+        "{ping_counts:?}"
+    );
+}
+
 #[test]
 fn killed_member_becomes_suspect_then_gone() {
     let mut network = start_fleet(60);
