--- a/crates/flows/src/balancer/saved_flows.rs
+++ b/crates/flows/src/balancer/saved_flows.rs
@@ -16,7 +16,7 @@
 
 /// Maximum number of parts that one call saves; the store accepts no more keys in a
 /// transaction.
-pub const MAX_SAVE_BATCH: usize = 32;
+const MAX_SAVE_BATCH: usize = 32;
 
 /// Time for which parts are collected.
 const COLLECT_TIME: Duration = Duration::from_secs(1);
@@ -45,8 +45,8 @@
 }
 
 impl FlowBalancer {
-    /// Returns the requests of hosts that are to be saved now with one call, at most
-    /// [`MAX_SAVE_BATCH`]; empty if none is due.
+    /// Returns the requests of hosts that are to be saved now with one call, at most 32; empty
+    /// if none is due.
     pub fn take_due_saves(&mut self, now: MonotonicTime) -> Vec<SaveRequest> {
         let queue = &mut self.save_queue;
         let is_full = queue.requests.len() >= MAX_SAVE_BATCH;
--- a/crates/flows/src/host/saved_flows.rs
+++ b/crates/flows/src/host/saved_flows.rs
@@ -62,16 +62,6 @@
             return;
         }
         self.saved.next_check_at = now + CHECK_INTERVAL;
-        let Some(heartbeat) = self.server.newest_heartbeat() else {
-            return;
-        };
-        let template = SavedFlowList {
-            saved_unix_millis: self.unix_millis(now),
-            service: self.identity.service.clone(),
-            server_id: heartbeat.id.clone(),
-            server_started_unix_millis: heartbeat.started_unix_millis,
-            flows: Vec::new(),
-        };
         let flows = self.collect_long_flows(now);
         if !self.saved.schedule.is_due(&flows, now) {
             return;
@@ -81,10 +71,30 @@
             self.saved.failed_saves = self.saved.failed_saves.wrapping_add(1);
             self.saved.pending_parts.clear();
         }
-        let Some(balancer) = self.select_saving_balancer(now) else {
+        if let Some(balancer) = self.select_saving_balancer(now) {
+            self.saved.schedule.record_request(&flows, now);
+            self.send_flow_list(balancer, &flows, now, outbox);
+        }
+    }
+
+    /// Sends a list of flows to a balancer in parts, each of which fits into a datagram.
+    fn send_flow_list(
+        &mut self,
+        balancer: Ipv4Addr,
+        flows: &[SavedFlow],
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let Some(heartbeat) = self.server.newest_heartbeat() else {
             return;
         };
-        self.saved.schedule.record_request(&flows, now);
+        let template = SavedFlowList {
+            saved_unix_millis: self.unix_millis(now),
+            service: self.identity.service.clone(),
+            server_id: heartbeat.id.clone(),
+            server_started_unix_millis: heartbeat.started_unix_millis,
+            flows: Vec::new(),
+        };
         for (part, part_flows) in flows.chunks(MAX_PART_FLOWS).enumerate() {
             self.saved.request_number = self.saved.request_number.wrapping_add(1);
             let number = self.saved.request_number;
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -35,10 +35,11 @@
 const MAX_WATCH_TIMEOUT: Duration = Duration::from_secs(16);
 
 /// Number of balancers up to which watches wait for [`MIN_WATCH_TIMEOUT`]. With more of
-/// them, all together make as many calls.
+/// them, each waits longer, so that all together make as many calls, until
+/// [`MAX_WATCH_TIMEOUT`] is reached.
 const MIN_TIMEOUT_BALANCERS: u32 = 6;
 
-/// Shortest time of a watch after a change, in parts of the usual one.
+/// Shortest time of a watch after a change, in percent of the usual one.
 const MIN_FIRST_WATCH_PERCENT: u64 = 10;
 
 /// Delay between a change and the next watch, so that a burst of changes costs few
