Reset no flow that opened at another host than the one whose server ended

Cause, shown by the tests: a host whose server has ended reset every packet that a balancer sent it as to the owner, at the position in the packet. A flow that was offered to two hosts and opened at the other one has such a packet if the balancer knows only the first offer, for example from a table that another balancer handed over. Likewise, a restarted host took a repeated SYN+ACK of its server for an open flow and claimed it.

Change: both ask whether the caller continues their server's stream.

--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -258,8 +258,9 @@
                 self.decline_packet(header, packet, outbox);
                 return;
             }
-            FlowPhase::Broken if is_search && !record.continues_stream(acknowledged) => {
-                // The flow may continue at another server.
+            FlowPhase::Broken if !record.continues_stream(acknowledged) => {
+                // The flow may continue at another server, also if the balancer takes this
+                // host for its owner.
                 self.decline_packet(header, packet, outbox);
                 return;
             }
@@ -425,7 +426,10 @@
         let header = &packet.header;
         let Some(record) = self.flows.get_mut(flow) else {
             // The flow was opened before this process started.
-            if !header.is_reset {
+            if header.is_open && header.has_ack {
+                let record = FlowRecord::accepted(header.sequence, now);
+                self.flows.insert(*flow, record);
+            } else if !header.is_reset {
                 self.flows.insert(*flow, FlowRecord::observed(now));
             }
             return;
--- a/crates/flows/src/host/records.rs
+++ b/crates/flows/src/host/records.rs
@@ -128,6 +128,16 @@
         }
     }
 
+    /// Creates the record of a flow that the server has accepted before this process started.
+    /// The caller may continue it at another server.
+    pub(super) fn accepted(server_start: u32, now: MonotonicTime) -> Self {
+        Self {
+            phase: FlowPhase::Offered,
+            server_start: Some(server_start),
+            ..Self::observed(now)
+        }
+    }
+
     /// Creates the record of a flow that the server holds according to a balancer or to the
     /// list of a former process. They may be wrong, so the server is probed.
     pub(super) fn reported(now: MonotonicTime) -> Self {
--- a/crates/flows/tests/host_restart.rs
+++ b/crates/flows/tests/host_restart.rs
@@ -482,3 +482,51 @@
     host.receive_heartbeat(&new_heartbeat, at(1_500), &mut outbox);
     expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&take_output(&mut outbox));
 }
+
+// A flow was offered to two hosts, and opened at the other one. A balancer that has learned
+// of the first offer only takes this host for the owner.
+#[test]
+fn the_host_of_an_ended_server_does_not_reset_a_flow_that_opened_elsewhere() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_ready_host(1);
+    open_flow(&mut host, 4_001, 20, &mut outbox);
+    host.receive_check_result(CheckResult::Refused, at(100), &mut outbox);
+    outbox.clear();
+    let mut other_packet = request_packet(4_001);
+    other_packet.acknowledged = 900_001;
+    let owner_header = carry_header(ForwardPurpose::Owner);
+    host.receive_forwarded_packet(
+        &owner_header,
+        &raw_packet(&other_packet),
+        at(120),
+        &mut outbox,
+    );
+    expect!["Peer(10.0.2.1): Returned { purpose: Owner } + 6 bytes"]
+        .assert_eq(&take_output(&mut outbox));
+}
+
+// The server repeats the packet with which it accepts a flow after its host was restarted.
+#[test]
+fn a_restarted_host_does_not_claim_a_flow_that_opened_elsewhere() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_host(1);
+    host.receive_heartbeat(&running_server_heartbeat(), at(10), &mut outbox);
+    host.receive_server_packet(&raw_packet(&accept_packet(4_001)), at(20), &mut outbox);
+    outbox.clear();
+    let mut other_packet = request_packet(4_001);
+    other_packet.acknowledged = 900_001;
+    for packet in [&other_packet, &request_packet(4_001)] {
+        let question = locate_message(packet);
+        host.receive_peer_message(
+            balancer_address(1),
+            &question,
+            None,
+            &[],
+            at(30),
+            &mut outbox,
+        );
+    }
+    expect![[r#"
+        Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: true } + 0 bytes
+        Peer(10.0.2.1): Owned { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, load: CarryLoad { in_progress: 0, mean_sixteenths: 0, slots: 2, flows: 1, answer_micros: 0 } } + 0 bytes"#]].assert_eq(&take_output(&mut outbox));
+}
