--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -5,7 +5,9 @@
 
 mod callers;
 mod faults;
+mod links;
 mod servers;
+mod store;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -27,7 +29,6 @@
 use hyssopstair_flows::ranking::rank_hosts;
 use hyssopstair_flows::routes::RouteTable;
 use hyssopstair_flows::saved_flows::SavedFlowList;
-use hyssopstair_flows::saved_flows::combine_parts;
 use hyssopstair_wire::carried::CarryHeader;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::FlowKey;
@@ -43,6 +44,7 @@
 use crate::model::oracle::RuleOracle;
 use crate::model::packet::ModelPacket;
 use crate::model::server::ModelServer;
+use crate::model::world::links::is_probe;
 
 /// Delay of a datagram between two processes, in microseconds.
 const PEER_DELAY_MICROS: u64 = 500;
@@ -75,19 +77,6 @@
 /// milliseconds.
 const MAX_ROUTE_DELAY_MILLIS: u64 = 3_000 + 2_000;
 
-/// Minimum time in which the platform's store answers, in microseconds.
-const STORE_DELAY_MICROS: u64 = 5_000;
-
-/// Maximum time in which the platform's store answers, in microseconds.
-const MAX_STORE_DELAY_MICROS: u64 = 1_500_000;
-
-/// Longest time for which a datagram waits on a link before further ones are dropped, in
-/// microseconds.
-const MAX_LINK_QUEUE_MICROS: u64 = 500_000;
-
-/// Length of the IP and UDP headers of a datagram.
-const DATAGRAM_HEADER_BYTES: usize = 28;
-
 /// Time after which a server repeats a heartbeat that no process received, in
 /// microseconds.
 const HEARTBEAT_RETRY_MICROS: u64 = 30_000;
@@ -583,45 +572,7 @@
         process.role = Some(role);
         process.next_tick_at = now.0;
         self.schedule(now.0, Event::Tick(address));
-        let parts = self
-            .saved_flows
-            .range((address, u8::MIN)..=(address, u8::MAX))
-            .filter_map(|(_, encoded_part)| SavedFlowList::decode(encoded_part).ok());
-        if let Some(list) = combine_parts(parts.collect()) {
-            let delay = self.draw_store_delay();
-            self.schedule(self.now + delay, Event::ReadSavedFlows { address, list });
-        }
-    }
-
-    /// Draws the time until the platform's store answers, in microseconds.
-    fn draw_store_delay(&mut self) -> u64 {
-        self.random
-            .random_range(STORE_DELAY_MICROS..MAX_STORE_DELAY_MICROS)
-    }
-
-    /// Saves lists of open flows, and confirms them if their balancer still runs.
-    fn complete_saves(&mut self, balancer: Ipv4Addr, saves: Vec<SaveRequest>) {
-        self.update_process(balancer, |role, outbox| {
-            if let ProcessRole::Balancer(balancer) = role {
-                for save in &saves {
-                    balancer.confirm_save(save.host, save.number, outbox);
-                }
-            }
-        });
-        for save in saves {
-            self.saved_flows
-                .insert((save.host, save.part), save.encoded_part);
-        }
-    }
-
-    /// Delivers the flows that the former process of a host has saved.
-    fn receive_saved_flows(&mut self, address: Ipv4Addr, list: SavedFlowList) {
-        let now = self.time();
-        self.update_process(address, |role, outbox| {
-            if let ProcessRole::Host(host) = role {
-                host.receive_former_flows(list, now, outbox);
-            }
-        });
+        self.schedule_saved_flows(address);
     }
 
     /// Ends a process and schedules its restart. Only an abrupt end counts as a fault.
@@ -778,24 +729,6 @@
         }
     }
 
-    /// Queues a datagram on the link of a balancer. Returns the time until it is sent, in
-    /// microseconds, or `None` if the queue is full.
-    fn queue_on_link(&mut self, from: Ipv4Addr, datagram: &[u8]) -> Option<u64> {
-        let is_balancer = from.octets()[2] == 2;
-        let Some(rate) = self.plan.link_bytes_per_second.filter(|_| is_balancer) else {
-            return Some(0);
-        };
-        let now = self.now;
-        let process = self.process_mut(from);
-        let queued_until = process.link_free_at.max(now);
-        if queued_until - now > MAX_LINK_QUEUE_MICROS {
-            return None;
-        }
-        let size = (datagram.len() + DATAGRAM_HEADER_BYTES + carried_data_bytes(datagram)) as u64;
-        process.link_free_at = queued_until + size * 1_000_000 / rate;
-        Some(process.link_free_at - now)
-    }
-
     /// Delivers a datagram to a process, unless one of the two processes is partitioned.
     fn receive_datagram(&mut self, to: Ipv4Addr, from: Ipv4Addr, bytes: &[u8]) {
         let is_known = self.processes.contains_key(&to);
@@ -1003,23 +936,6 @@
     }
 }
 
-/// Returns whether a datagram carries a packet that probes a server.
-fn is_probe(datagram: &[u8]) -> bool {
-    matches!(
-        CarryMessage::decode(datagram),
-        Some((CarryMessage::Forward(header), _)) if header.purpose == ForwardPurpose::Probe
-    )
-}
-
-/// Returns the length of the data of the packet in a datagram. The packets of the
-/// simulation are sent without their data.
-fn carried_data_bytes(datagram: &[u8]) -> usize {
-    let packet = CarryMessage::decode(datagram)
-        .filter(|(message, _)| carries_packet(message))
-        .and_then(|(_, payload)| ModelPacket::decode(payload));
-    packet.map_or(0, |packet| usize::from(packet.data_length))
-}
-
 /// Returns whether a packet follows the message.
 fn carries_packet(message: &CarryMessage) -> bool {
     matches!(
