Log where a configuration came from, and at which position of the store

Cause: a balancer logged that a version is in force, but neither whether the store or a peer sent it, nor the revision at which its watch stood. A skipped change, a silent connection and a process that started from an older copy left the same lines.

Change: lines for each received configuration and for each lost position, with the era (header Store-Era) and the revision of the store; the source of new routes; two gauges. No decision changes.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -32,6 +32,7 @@
 use crate::balancer::search::PendingSearch;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
+use crate::event::RouteSource;
 use crate::holding::HoldQueue;
 use crate::members::MemberTable;
 use crate::outbox::FlowOutbox;
@@ -177,10 +178,10 @@
         }
     }
 
-    /// Installs a route table if it is newer than the one in force. The next tick then
-    /// announces it to the peers.
+    /// Installs a route table that was read from the store if it is newer than the one in
+    /// force. The next tick then announces it to the peers.
     pub fn set_routes(&mut self, routes: RouteTable, outbox: &mut FlowOutbox) {
-        if self.routes.install(routes, outbox) {
+        if self.routes.install(routes, RouteSource::Store, outbox) {
             self.schedule_hellos();
         }
     }
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -118,6 +118,8 @@
         version: u64,
         /// Number of routes.
         routes: usize,
+        /// Where they came from.
+        source: RouteSource,
     },
     /// The flows that the former process of a host had saved were read.
     FormerFlows {
@@ -269,6 +271,15 @@
     }
 }
 
+/// Where a version of the routes came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteSource {
+    /// The platform's store.
+    Store,
+    /// Another process.
+    Peer,
+}
+
 /// Why a flow was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalReason {
--- a/crates/flows/src/host/peers.rs
+++ b/crates/flows/src/host/peers.rs
@@ -13,6 +13,7 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::event::FlowEvent;
+use crate::event::RouteSource;
 use crate::host::FlowHost;
 use crate::host::HOST_TICK_INTERVAL;
 use crate::host::records::FlowRecord;
@@ -73,9 +74,9 @@
         }
     }
 
-    /// Installs a route table if it is newer than the one in force.
+    /// Installs a route table that was read from the store if it is newer than the one in force.
     pub fn set_routes(&mut self, routes: RouteTable, outbox: &mut FlowOutbox) {
-        self.routes.install(routes, outbox);
+        self.routes.install(routes, RouteSource::Store, outbox);
     }
 
     /// Adds addresses at which there may be balancers, so that hellos are sent to them.
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod route_transfer;
 pub mod routes;
 pub mod saved_flows;
+pub mod store_position;
 pub mod table;
--- a/crates/flows/src/route_transfer.rs
+++ b/crates/flows/src/route_transfer.rs
@@ -11,6 +11,7 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::event::FlowEvent;
+use crate::event::RouteSource;
 use crate::outbox::FlowOutbox;
 use crate::routes::RouteTable;
 
@@ -33,7 +34,12 @@
 
     /// Installs a route table if it is newer than the one in force, and returns whether
     /// it was installed.
-    pub fn install(&mut self, table: RouteTable, outbox: &mut FlowOutbox) -> bool {
+    pub fn install(
+        &mut self,
+        table: RouteTable,
+        source: RouteSource,
+        outbox: &mut FlowOutbox,
+    ) -> bool {
         if table.version() <= self.table.version() {
             return false;
         }
@@ -41,6 +47,7 @@
         outbox.record_event(FlowEvent::Routes {
             version: self.table.version(),
             routes: self.table.len(),
+            source,
         });
         true
     }
@@ -59,7 +66,7 @@
             .assembly
             .add_part(version, part_index, part_count, bytes)
         {
-            Some(table) => self.install(table, outbox),
+            Some(table) => self.install(table, RouteSource::Peer, outbox),
             None => false,
         }
     }
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -12,6 +12,7 @@
 use hyssopstair_flows::host::CheckResult;
 use hyssopstair_flows::routes::RouteTable;
 use hyssopstair_flows::saved_flows::SavedFlowList;
+use hyssopstair_flows::store_position::StorePosition;
 use tokio::sync::oneshot;
 
 /// Capacity of the command queue; a sender waits while the queue is full.
@@ -45,6 +46,8 @@
     FormerFlows(SavedFlowList),
     /// Confirms to hosts that parts of their lists of open flows were saved.
     ConfirmSaves(Vec<SaveRequest>),
+    /// Logs what a task has learned about the configuration in the store.
+    ConfigurationObserved(ConfigurationObservation),
     /// Logs that a dependency failed or recovered.
     DependencyChanged {
         /// Name of the dependency.
@@ -54,6 +57,38 @@
     },
 }
 
+/// What a task has learned about the configuration in the store.
+#[derive(Debug)]
+pub enum ConfigurationObservation {
+    /// A version was received.
+    Received {
+        /// How it was received.
+        source: ConfigurationSource,
+        /// Version of the configuration.
+        version: u64,
+        /// Revision of its last change.
+        revision: u64,
+        /// Position in the history of the store after which changes are still unknown.
+        position: StorePosition,
+    },
+    /// The task cannot watch from its position, and reads the configuration again.
+    PositionLost {
+        /// The position.
+        position: StorePosition,
+        /// Why it is lost.
+        reason: String,
+    },
+}
+
+/// How a configuration was received from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigurationSource {
+    /// Its key was read.
+    Read,
+    /// A watch reported a change.
+    Watch,
+}
+
 /// State of the event loop, shared with other tasks.
 #[derive(Debug, Clone, Default)]
 pub struct ProcessStatus {
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -266,10 +266,14 @@
             "removed a silent peer",
             json!({ "peer": peer, "silent_ms": silent_millis }),
         ),
-        FlowEvent::Routes { version, routes } => (
+        FlowEvent::Routes {
+            version,
+            routes,
+            source,
+        } => (
             "routes",
             "put new routes in force",
-            json!({ "version": version, "routes": routes }),
+            json!({ "version": version, "routes": routes, "source": format!("{source:?}") }),
         ),
         FlowEvent::FormerFlows {
             flows,
--- a/crates/hyssopstaird/src/carry/metrics.rs
+++ b/crates/hyssopstaird/src/carry/metrics.rs
@@ -31,6 +31,10 @@
     pub peer_count: IntGauge,
     /// Version of the routes in force.
     pub routes_version: IntGauge,
+    /// The newest era that the store has reported.
+    pub store_era: IntGauge,
+    /// Revision of the store when it last sent the configuration.
+    pub store_revision: IntGauge,
 }
 
 impl CarryMetrics {
@@ -75,6 +79,14 @@
                 "hyssopstair_routes_version",
                 "Version of the routes in force",
             )?,
+            store_era: register_gauge(
+                "hyssopstair_store_era",
+                "Newest era that the store has reported",
+            )?,
+            store_revision: register_gauge(
+                "hyssopstair_store_revision",
+                "Revision of the store when it last sent the configuration",
+            )?,
             registry,
         })
     }
--- a/crates/hyssopstaird/src/carry/mod.rs
+++ b/crates/hyssopstaird/src/carry/mod.rs
@@ -14,4 +14,5 @@
 pub mod process;
 pub mod sockets;
 pub mod store;
+pub mod store_eras;
 pub mod store_tasks;
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -40,6 +40,7 @@
 use crate::carry::checks::check_server;
 use crate::carry::command::COMMAND_QUEUE_CAPACITY;
 use crate::carry::command::CarryCommand;
+use crate::carry::command::ConfigurationObservation;
 use crate::carry::command::ProcessStatus;
 use crate::carry::http::CallServer;
 use crate::carry::journal::EventJournal;
@@ -47,6 +48,7 @@
 use crate::carry::part::CarryPart;
 use crate::carry::sockets::DatagramSocket;
 use crate::carry::sockets::RECEIVE_BUFFER_BYTES;
+use crate::carry::store_eras::StoreEras;
 use crate::carry::store_tasks::StoreTask;
 use crate::clock::ProcessClock;
 use crate::clock::unix_millis;
@@ -97,6 +99,7 @@
     /// host, and sends packets to callers and the server.
     packet_socket: DatagramSocket,
     status: ProcessStatus,
+    eras: StoreEras,
     command_sender: mpsc::Sender<CarryCommand>,
     command_receiver: mpsc::Receiver<CarryCommand>,
     /// Passes the lists of open flows that a balancer has collected to the task that saves
@@ -139,6 +142,7 @@
             peer_socket,
             packet_socket,
             status,
+            eras: StoreEras::default(),
             command_sender,
             command_receiver,
             save_sender,
@@ -164,6 +168,7 @@
             address: *self.settings.packets.ip(),
             command_sender: self.command_sender.clone(),
             status: self.status.clone(),
+            eras: self.eras.clone(),
         };
         match self.settings.role {
             CarryRole::Balancer => {
@@ -291,6 +296,7 @@
         self.metrics
             .routes_version
             .set(self.forwarder.routes_version() as i64);
+        self.metrics.store_era.set(self.eras.newest() as i64);
         self.status.publish(
             self.forwarder.is_ready(now) && self.stop_requested_at.is_none(),
             self.forwarder.routes_version(),
@@ -378,6 +384,9 @@
                     }
                 }
             }
+            CarryCommand::ConfigurationObserved(observation) => {
+                self.record_configuration(&observation, now);
+            }
             CarryCommand::DependencyChanged { name, error } => {
                 let message = if error.is_some() {
                     "dependency failed"
@@ -391,6 +400,31 @@
         self.flush_outbox(now);
     }
 
+    /// Logs what a task has learned about the configuration in the store.
+    fn record_configuration(&mut self, observation: &ConfigurationObservation, now: MonotonicTime) {
+        let (message, position, mut fields) = match observation {
+            ConfigurationObservation::Received {
+                source,
+                version,
+                revision,
+                position,
+            } => (
+                "received the configuration",
+                position,
+                json!({ "source": format!("{source:?}"), "version": version, "revision": revision }),
+            ),
+            ConfigurationObservation::PositionLost { position, reason } => (
+                "reading the configuration again",
+                position,
+                json!({ "reason": reason }),
+            ),
+        };
+        fields["store_era"] = json!(position.era);
+        fields["store_revision"] = json!(position.revision);
+        self.metrics.store_revision.set(position.revision as i64);
+        self.journal.write_process(message, fields, now);
+    }
+
     /// Starts to drain: the process is no longer ready, and the peers are notified.
     /// Ignores further signals to stop.
     fn begin_stop(&mut self) {
--- a/crates/hyssopstaird/src/carry/store.rs
+++ b/crates/hyssopstaird/src/carry/store.rs
@@ -11,10 +11,15 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use hyssopstair_adapter::store::ERA_HEADER;
 use hyssopstair_adapter::store::StoreRequest;
+use hyssopstair_adapter::store::decode_era;
+use hyssopstair_flows::store_position::StoreEra;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::carry::store_eras::StoreEras;
+
 /// Timeout for opening a connection; the store usually responds in 4 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -39,25 +44,37 @@
     Decode(#[from] hyssopstair_adapter::store::StoreDecodeError),
 }
 
+/// A successful response of the store.
+#[derive(Debug)]
+pub struct StoreResponse {
+    /// The body.
+    pub body: Bytes,
+    /// Era of the store that sent it. A response that names none belongs to the newest
+    /// known one.
+    pub era: StoreEra,
+}
+
 /// A connection to the store, opened by the first call that needs it. A call that gets
 /// no response closes the connection, which cannot be used for another call; the next
 /// call opens a new one.
 #[derive(Debug)]
 pub struct StoreConnection {
     address: SocketAddrV4,
+    eras: StoreEras,
     sender: Option<SendRequest<Full<Bytes>>>,
 }
 
 impl StoreConnection {
     /// Creates a connection without opening it.
-    pub fn new(address: SocketAddrV4) -> Self {
+    pub fn new(address: SocketAddrV4, eras: StoreEras) -> Self {
         Self {
             address,
+            eras,
             sender: None,
         }
     }
 
-    /// Sends a request and returns the body of the response. `hold_time` is the time
+    /// Sends a request and returns the response. `hold_time` is the time
     /// for which the request allows the store to hold back the response; the call
     /// times out [`RESPONSE_TIMEOUT`] later.
     ///
@@ -69,19 +86,21 @@
         &mut self,
         request: StoreRequest,
         hold_time: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         let mut sender = match self.sender.take() {
             Some(sender) if !sender.is_closed() => sender,
             _ => self.connect().await?,
         };
         let exchange = send_request(&mut sender, self.build_request(request));
-        let (status, body) = match timeout(hold_time + RESPONSE_TIMEOUT, exchange).await {
+        let (status, era, body) = match timeout(hold_time + RESPONSE_TIMEOUT, exchange).await {
             Ok(result) => result.map_err(|error| StoreError::NoResponse(error.to_string()))?,
             Err(_) => return Err(StoreError::NoResponse("timed out".to_owned())),
         };
         self.sender = Some(sender);
+        let era = era.unwrap_or_else(|| self.eras.newest());
+        self.eras.record(era);
         if status.is_success() {
-            Ok(body)
+            Ok(StoreResponse { body, era })
         } else {
             Err(StoreError::Rejected(status))
         }
@@ -127,10 +146,14 @@
 async fn send_request(
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), hyper::Error> {
+) -> Result<(StatusCode, Option<StoreEra>, Bytes), hyper::Error> {
     sender.ready().await?;
     let response = sender.send_request(request).await?;
     let status = response.status();
+    let era = response
+        .headers()
+        .get(ERA_HEADER)
+        .and_then(|value| decode_era(value.as_bytes()));
     let body = response.into_body().collect().await?.to_bytes();
-    Ok((status, body))
+    Ok((status, era, body))
 }
--- /dev/null
+++ b/crates/hyssopstaird/src/carry/store_eras.rs
@@ -0,0 +1,36 @@
+//! The newest era of the store that a process knows.
+
+use std::sync::Arc;
+
+use hyssopstair_flows::store_position::StoreEra;
+use tokio::sync::watch;
+
+/// The newest era of the store that any task of the process has seen in a response.
+#[derive(Debug, Clone)]
+pub struct StoreEras {
+    era_sender: Arc<watch::Sender<StoreEra>>,
+}
+
+impl StoreEras {
+    /// Returns the newest known era; 0 if none is known.
+    pub fn newest(&self) -> StoreEra {
+        *self.era_sender.borrow()
+    }
+
+    /// Records an era, unless a newer one is known.
+    pub fn record(&self, era: StoreEra) {
+        self.era_sender.send_if_modified(|newest| {
+            let is_newer = era > *newest;
+            *newest = era.max(*newest);
+            is_newer
+        });
+    }
+}
+
+impl Default for StoreEras {
+    fn default() -> Self {
+        Self {
+            era_sender: Arc::new(watch::Sender::new(0)),
+        }
+    }
+}
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -17,15 +17,19 @@
 use hyssopstair_flows::balancer::SaveRequest;
 use hyssopstair_flows::saved_flows::SavedFlowList;
 use hyssopstair_flows::saved_flows::combine_parts;
+use hyssopstair_flows::store_position::StorePosition;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::carry::command::CarryCommand;
+use crate::carry::command::ConfigurationObservation;
+use crate::carry::command::ConfigurationSource;
 use crate::carry::command::ProcessStatus;
 use crate::carry::store::StoreConnection;
 use crate::carry::store::StoreError;
+use crate::carry::store_eras::StoreEras;
 
 /// Minimum time for which a watch waits for a change. A silent connection is detected after
 /// the time of the watch; until then, new versions arrive from peers.
@@ -82,39 +86,53 @@
     pub command_sender: mpsc::Sender<CarryCommand>,
     /// Status published by the event loop.
     pub status: ProcessStatus,
+    /// Eras of the store, shared by all tasks.
+    pub eras: StoreEras,
 }
 
 impl StoreTask {
+    fn connect(&self) -> StoreConnection {
+        StoreConnection::new(self.store_address, self.eras.clone())
+    }
+
     /// Keeps a balancer's routes up to date with the configuration in the store.
     pub async fn watch_configuration(self) {
-        let mut connection = StoreConnection::new(self.store_address);
-        let mut known_revision: Option<u64> = None;
+        let mut connection = self.connect();
+        let mut known_position: Option<StorePosition> = None;
         let mut is_store_lost = false;
         let mut has_changed = true;
         loop {
-            let result = match known_revision {
+            let result = match known_position {
                 None => self.read_configuration(&mut connection).await,
-                Some(revision) => {
-                    let timeout = self.watch_timeout(has_changed, revision);
-                    self.wait_for_change(&mut connection, revision, timeout)
+                Some(position) => {
+                    let timeout = self.watch_timeout(has_changed, position.revision);
+                    self.wait_for_change(&mut connection, position, timeout)
                         .await
                 }
             };
             match result {
-                Ok(revision) => {
+                Ok(position) => {
                     if is_store_lost {
                         self.report_store_status(None).await;
                     }
                     is_store_lost = false;
-                    has_changed = known_revision.is_none_or(|known| revision > known);
-                    if has_changed && known_revision.is_some() {
+                    has_changed =
+                        known_position.is_none_or(|known| position.revision > known.revision);
+                    if has_changed && known_position.is_some() {
                         sleep(WATCH_DELAY).await;
                     }
-                    known_revision = Some(revision);
+                    known_position = Some(position);
                 }
                 // The store's history no longer contains the known revision.
                 Err(StoreError::Rejected(StatusCode::GONE)) => {
-                    known_revision = None;
+                    if let Some(position) = known_position.take() {
+                        let reason = "the history of the store has no such revision".to_owned();
+                        self.report_configuration(ConfigurationObservation::PositionLost {
+                            position,
+                            reason,
+                        })
+                        .await;
+                    }
                     sleep(WATCH_DELAY).await;
                 }
                 Err(StoreError::Rejected(StatusCode::NOT_FOUND)) => {
@@ -135,7 +153,7 @@
     /// Keeps a balancer registered in the store, and discovers the other balancers
     /// whenever it registers anew.
     pub async fn maintain_registration(self) {
-        let mut connection = StoreConnection::new(self.store_address);
+        let mut connection = self.connect();
         let mut lease: Option<u64> = None;
         loop {
             let result = match lease {
@@ -160,7 +178,7 @@
     /// Reads the balancers and the routes from the store as long as no peer has sent them
     /// to the host.
     pub async fn poll_missing_state(self) {
-        let mut connection = StoreConnection::new(self.store_address);
+        let mut connection = self.connect();
         if self.list_balancers(&mut connection).await.is_err() {
             sleep(RETRY_DELAY).await;
         }
@@ -178,7 +196,7 @@
 
     /// Saves the lists of open flows that hosts have sent to a balancer, and confirms them.
     pub async fn save_flow_lists(self, mut save_receiver: mpsc::Receiver<Vec<SaveRequest>>) {
-        let mut connection = StoreConnection::new(self.store_address);
+        let mut connection = self.connect();
         let mut lease = None;
         while let Some(requests) = save_receiver.recv().await {
             let saved = self
@@ -210,8 +228,8 @@
             Some((id, granted_at)) if granted_at.elapsed() < SAVED_FLOWS_LEASE_PERIOD => id,
             _ => {
                 let request = store::grant_lease(SAVED_FLOWS_TTL);
-                let body = connection.call(request, Duration::ZERO).await?;
-                let (id, _) = store::decode_lease(&body)?;
+                let response = connection.call(request, Duration::ZERO).await?;
+                let (id, _) = store::decode_lease(&response.body)?;
                 *lease = Some((id, Instant::now()));
                 id
             }
@@ -233,13 +251,13 @@
     /// Reads the flows that the former process of the host has saved, and passes them to
     /// the event loop. Tries for [`FORMER_FLOWS_PERIOD`] until the store responds.
     pub async fn read_former_flows(self) {
-        let mut connection = StoreConnection::new(self.store_address);
+        let mut connection = self.connect();
         let prefix = store::saved_flows_prefix(self.address);
         let read = async {
             loop {
                 let request = store::list_prefix(&prefix, None);
                 match connection.call(request, Duration::ZERO).await {
-                    Ok(body) => break store::decode_items(&body),
+                    Ok(response) => break store::decode_items(&response.body),
                     Err(_) => sleep(RETRY_DELAY).await,
                 }
             }
@@ -279,10 +297,10 @@
     /// Registers a balancer under a new lease, and returns the ID of the lease.
     async fn register(&self, connection: &mut StoreConnection) -> Result<u64, StoreError> {
         let _ = self.list_balancers(connection).await;
-        let body = connection
+        let response = connection
             .call(store::grant_lease(REGISTRATION_TTL), Duration::ZERO)
             .await?;
-        let (lease, _) = store::decode_lease(&body)?;
+        let (lease, _) = store::decode_lease(&response.body)?;
         let key = format!("{}{}", store::BALANCER_PREFIX, self.address);
         let value = self.address.to_string();
         connection
@@ -297,31 +315,36 @@
     }
 
     async fn list_balancers(&self, connection: &mut StoreConnection) -> Result<(), StoreError> {
-        let body = connection
+        let response = connection
             .call(
                 store::list_prefix(store::BALANCER_PREFIX, None),
                 Duration::ZERO,
             )
             .await?;
-        let items = store::decode_items(&body)?;
+        let items = store::decode_items(&response.body)?;
         let contacts: Vec<Ipv4Addr> = items.items.iter().filter_map(decode_contact).collect();
         self.send_command(CarryCommand::AddContacts(contacts)).await;
         Ok(())
     }
 
-    /// Reads the configuration and applies it. Returns the revision of the store, at
+    /// Reads the configuration and applies it. Returns the position of the store, at
     /// which the next watch starts.
     async fn read_configuration(
         &self,
         connection: &mut StoreConnection,
-    ) -> Result<u64, StoreError> {
-        let body = connection
+    ) -> Result<StorePosition, StoreError> {
+        let response = connection
             .call(store::get_key(store::CONFIGURATION_KEY), Duration::ZERO)
             .await?;
-        let (item, store_revision) = store::decode_item(&body)?;
-        self.apply_configuration(item).await;
+        let (item, store_revision) = store::decode_item(&response.body)?;
         // The store's history may no longer contain the item's own revision.
-        Ok(store_revision)
+        let position = StorePosition {
+            era: response.era,
+            revision: store_revision,
+        };
+        self.apply_configuration(item, ConfigurationSource::Read, position)
+            .await;
+        Ok(position)
     }
 
     /// Returns the time for which the next watch waits. Changes reach all balancers at the
@@ -341,29 +364,46 @@
         timeout * percent as u32 / 100
     }
 
-    /// Waits for a change after a revision, and applies the newest configuration.
-    /// Returns the revision at which the next watch starts.
+    /// Waits for a change after a position, and applies the newest configuration.
+    /// Returns the position at which the next watch starts.
     async fn wait_for_change(
         &self,
         connection: &mut StoreConnection,
-        revision: u64,
+        known: StorePosition,
         timeout: Duration,
-    ) -> Result<u64, StoreError> {
-        let request = store::watch_prefix(store::CONFIGURATION_KEY, revision, timeout);
-        let body = connection.call(request, timeout).await?;
-        let items = store::decode_items(&body)?;
+    ) -> Result<StorePosition, StoreError> {
+        let request = store::watch_prefix(store::CONFIGURATION_KEY, known.revision, timeout);
+        let response = connection.call(request, timeout).await?;
+        let items = store::decode_items(&response.body)?;
+        let position = StorePosition {
+            era: response.era,
+            revision: items.store_revision.max(known.revision),
+        };
         if let Some(item) = items.items.into_iter().next_back() {
-            self.apply_configuration(item).await;
+            self.apply_configuration(item, ConfigurationSource::Watch, position)
+                .await;
         }
-        Ok(items.store_revision.max(revision))
+        Ok(position)
     }
 
-    async fn apply_configuration(&self, item: StoreItem) {
+    async fn apply_configuration(
+        &self,
+        item: StoreItem,
+        source: ConfigurationSource,
+        position: StorePosition,
+    ) {
         let Some(value) = item.value else {
             return;
         };
         match decode_configuration(&value) {
             Ok((routes, skipped_route_count)) => {
+                self.report_configuration(ConfigurationObservation::Received {
+                    source,
+                    version: routes.version(),
+                    revision: item.revision,
+                    position,
+                })
+                .await;
                 if skipped_route_count > 0 {
                     let error =
                         format!("failed to decode {skipped_route_count} routes; skipped them");
@@ -375,6 +415,11 @@
         }
     }
 
+    async fn report_configuration(&self, observation: ConfigurationObservation) {
+        self.send_command(CarryCommand::ConfigurationObserved(observation))
+            .await;
+    }
+
     /// Reports an error of the store or of the configuration in it; `None` reports
     /// that the store is available again.
     async fn report_store_status(&self, error: Option<String>) {
