--- a/crates/soak/src/fleet/events.rs
+++ b/crates/soak/src/fleet/events.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hyssopstair_stand_in::store::StoreFault;
 use nix::sys::signal::Signal;
 use rand::RngExt;
 use tokio::net::UdpSocket;
@@ -16,7 +17,6 @@
 use crate::plan::SoakEvent;
 use crate::relay::ConnectionFault;
 use crate::relay::LinkFaults;
-use crate::store::StoreFault;
 
 /// Time for which a draining server keeps serving after its host was informed. It exceeds
 /// the time for which a draining server must keep serving.
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Instant;
 
 use http::Method;
+use hyssopstair_stand_in::store::StandInStore;
 use nix::sys::signal::Signal;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -26,7 +27,6 @@
 use crate::program::SoakProcess;
 use crate::relay::SoakRelay;
 use crate::server::SoakServer;
-use crate::store::SoakStore;
 
 /// Time within which a process must exit after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
@@ -67,7 +67,7 @@
     members: Rc<RefCell<Vec<FleetMember>>>,
     servers: Rc<Vec<SoakServer>>,
     relay: SoakRelay,
-    store: SoakStore,
+    store: StandInStore,
     checker: Rc<RefCell<SoakChecker>>,
     balancer_count: usize,
     /// Number of configurations that were written.
@@ -83,7 +83,7 @@
         balancer_count: usize,
         servers: Vec<SoakServer>,
         relay: SoakRelay,
-        store: SoakStore,
+        store: StandInStore,
         checker: Rc<RefCell<SoakChecker>>,
         seed: u64,
     ) -> Self {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod router;
 pub mod run;
 pub mod server;
-pub mod store;
 
 /// An error that ends a run before its result is known.
 #[derive(Debug, thiserror::Error)]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,6 +9,7 @@
 
 use error_stack::Report;
 use error_stack::ResultExt;
+use hyssopstair_stand_in::store::StandInStore;
 use serde_json::json;
 use tokio::runtime::Builder;
 use tokio::signal::ctrl_c;
@@ -33,7 +34,6 @@
 use crate::relay::SoakRelay;
 use crate::router::SoakRouter;
 use crate::server::SoakServer;
-use crate::store::SoakStore;
 
 /// Number of callers for each host.
 const CALLERS_PER_HOST: usize = 4;
@@ -155,7 +155,7 @@
     checker: &Rc<RefCell<SoakChecker>>,
 ) -> Result<SoakFleet, Report<SoakError>> {
     let context = || SoakError("failed to bind an address of the store or of the relay".to_owned());
-    let store = SoakStore::default();
+    let store = StandInStore::default();
     store
         .start(network.store_address())
         .await
