Send hellos to a balancer that has sent one

Callers saw, or would have seen, routes of an older version at a balancer that started while the store held an older copy, in a fleet where no third balancer names it to others.

Cause: a balancer sent hellos to its configured contacts and to those that hellos name, but not to the sender of a hello. Of two balancers, the one that started first answered once and then fell silent, so that newer routes never reached the second one.

Change: the sender of a hello is a contact, as at hosts.

--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -169,6 +169,7 @@
                 if is_new {
                     self.record_recent_balancer(from);
                 }
+                self.add_contacts(&[from]);
                 self.add_contacts(&balancer.balancers);
                 if balancer.wants_flows {
                     self.send_flow_table(from, outbox);
