Read the configuration again when the store has come back from a copy

Callers saw: a route served as an older version allows, after a newer one was confirmed.

Cause: a balancer watched from the last revision that it knew. When the store comes back from a copy, revisions go back and are given out again. A balancer that is away until the new history has passed its revision gets no 410: its watch is accepted, and a configuration written below that revision is skipped until the next one. The class: a number that names a state only within one history of the store, used in another.

Evidence: the test of the balancer against the store stand-in, version 8 never in force in 20 s before; the line 'received the configuration' shows the watch at a store_revision above the revision of version 8.

Change: a position is an era (header Store-Era) and a revision. A response of another era, or at a lower revision where no era is reported, makes the balancer read the configuration again; so do every failed call and a new era that another task of the process sees, since a watch may wait for long at the old revision. Why this works: after each of them the configuration is read as it is now, and the next watch starts in the history of that read.

--- a/crates/hyssopstaird/src/carry/store.rs
+++ b/crates/hyssopstaird/src/carry/store.rs
@@ -39,6 +39,9 @@
     /// The store rejected the call.
     #[error("store returned status {0}")]
     Rejected(StatusCode),
+    /// The store has come back from a copy since the known state was read.
+    #[error("the store came back from a copy")]
+    Restored,
     /// The response could not be decoded.
     #[error("{0}")]
     Decode(#[from] hyssopstair_adapter::store::StoreDecodeError),
--- a/crates/hyssopstaird/src/carry/store_eras.rs
+++ b/crates/hyssopstaird/src/carry/store_eras.rs
@@ -17,6 +17,13 @@
         *self.era_sender.borrow()
     }
 
+    /// Waits until an era after `era` is known.
+    pub async fn wait_for_newer(&self, era: StoreEra) {
+        let mut receiver = self.era_sender.subscribe();
+        // Waiting fails only when the sender is dropped, and `self` holds it.
+        let _ = receiver.wait_for(|newest| *newest > era).await;
+    }
+
     /// Records an era, unless a newer one is known.
     pub fn record(&self, era: StoreEra) {
         self.era_sender.send_if_modified(|newest| {
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -17,6 +17,7 @@
 use hyssopstair_flows::balancer::SaveRequest;
 use hyssopstair_flows::saved_flows::SavedFlowList;
 use hyssopstair_flows::saved_flows::combine_parts;
+use hyssopstair_flows::store_position::HistoryVerdict;
 use hyssopstair_flows::store_position::StorePosition;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -102,15 +103,26 @@
         let mut is_store_lost = false;
         let mut has_changed = true;
         loop {
-            let result = match known_position {
-                None => self.read_configuration(&mut connection).await,
-                Some(position) => {
-                    let timeout = self.watch_timeout(has_changed, position.revision);
-                    self.wait_for_change(&mut connection, position, timeout)
-                        .await
+            let step = async {
+                match known_position {
+                    None => self.read_configuration(&mut connection).await,
+                    Some(position) => {
+                        let timeout = self.watch_timeout(has_changed, position.revision);
+                        self.wait_for_change(&mut connection, position, timeout)
+                            .await
+                    }
                 }
             };
-            match result {
+            let result = match known_position {
+                None => step.await,
+                Some(known) => tokio::select! {
+                    biased;
+                    result = step => result,
+                    // The watch may wait for long at a revision of the former history.
+                    () = self.eras.wait_for_newer(known.era) => Err(StoreError::Restored),
+                },
+            };
+            match result.and_then(|position| self.check_position(known_position, position)) {
                 Ok(position) => {
                     if is_store_lost {
                         self.report_store_status(None).await;
@@ -123,16 +135,13 @@
                     }
                     known_position = Some(position);
                 }
-                // The store's history no longer contains the known revision.
-                Err(StoreError::Rejected(StatusCode::GONE)) => {
-                    if let Some(position) = known_position.take() {
-                        let reason = "the history of the store has no such revision".to_owned();
-                        self.report_configuration(ConfigurationObservation::PositionLost {
-                            position,
-                            reason,
-                        })
+                Err(StoreError::Restored) => {
+                    self.report_lost_position(&mut known_position, &StoreError::Restored)
                         .await;
-                    }
+                }
+                // The store's history no longer contains the known revision.
+                Err(error @ StoreError::Rejected(StatusCode::GONE)) => {
+                    self.report_lost_position(&mut known_position, &error).await;
                     sleep(WATCH_DELAY).await;
                 }
                 Err(StoreError::Rejected(StatusCode::NOT_FOUND)) => {
@@ -144,12 +153,44 @@
                         self.report_store_status(Some(error.to_string())).await;
                     }
                     is_store_lost = true;
+                    // The store may come back from a copy, in which the known revision means
+                    // another change.
+                    self.report_lost_position(&mut known_position, &error).await;
                     sleep(RETRY_DELAY).await;
                 }
             }
         }
     }
 
+    /// Returns the position of a response, unless changes may be missing between the known
+    /// position and this one.
+    fn check_position(
+        &self,
+        known: Option<StorePosition>,
+        position: StorePosition,
+    ) -> Result<StorePosition, StoreError> {
+        if position.era < self.eras.newest() {
+            return Err(StoreError::Restored);
+        }
+        match known.map(|known| known.judge_response(position)) {
+            None | Some(HistoryVerdict::Continued) => Ok(position),
+            Some(HistoryVerdict::Restored | HistoryVerdict::Outdated) => Err(StoreError::Restored),
+        }
+    }
+
+    /// Gives up the known position, so that the configuration is read again.
+    async fn report_lost_position(
+        &self,
+        known_position: &mut Option<StorePosition>,
+        error: &StoreError,
+    ) {
+        if let Some(position) = known_position.take() {
+            let reason = error.to_string();
+            self.report_configuration(ConfigurationObservation::PositionLost { position, reason })
+                .await;
+        }
+    }
+
     /// Keeps a balancer registered in the store, and discovers the other balancers
     /// whenever it registers anew.
     pub async fn maintain_registration(self) {
@@ -377,7 +418,7 @@
         let items = store::decode_items(&response.body)?;
         let position = StorePosition {
             era: response.era,
-            revision: items.store_revision.max(known.revision),
+            revision: items.store_revision,
         };
         if let Some(item) = items.items.into_iter().next_back() {
             self.apply_configuration(item, ConfigurationSource::Watch, position)
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -53,6 +53,10 @@
 /// with each restart at the same address, unless the system clock was set back.
 pub type ProcessStart = u64;
 
+/// Number of times that the platform's store has come back from a copy, as the store
+/// reports it; 0 if it reports none.
+pub type StoreEra = u64;
+
 /// The state of a backend server, as known to its host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
