Let the watches of balancers end in turn, also after a failure

Cause: such a connection is noticed when the watch on it is over. Since then the first watch after a change took a random part of its time, but what counted as a change was any rise of the store's revision, and after an outage all watches started in step.

Change: the first watch after a configuration or a failure takes the part of its time that follows from the balancer's place among the known ones, so that in a fleet some watch ends every 0.67 s; the shortest watch is 2.5 s. Fleets of six and more wait as long as before. The decision is code of its own (flows::watch_schedule).

The longest time without the end of a watch is 2.5 s with one balancer, 0.67 s with 6 to 22.

--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod saved_flows;
 pub mod store_position;
 pub mod table;
+pub mod watch_schedule;
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -10,9 +10,11 @@
 use hyssopstair_flows::balancer::SaveRequest;
 use hyssopstair_flows::heartbeat::ServerHeartbeat;
 use hyssopstair_flows::host::CheckResult;
+use hyssopstair_flows::members::BalancerRecord;
 use hyssopstair_flows::routes::RouteTable;
 use hyssopstair_flows::saved_flows::SavedFlowList;
 use hyssopstair_flows::store_position::StorePosition;
+use hyssopstair_flows::watch_schedule::WatchSchedule;
 use tokio::sync::oneshot;
 
 /// Capacity of the command queue; a sender waits while the queue is full.
@@ -100,6 +102,7 @@
     is_ready: AtomicBool,
     routes_version: AtomicU64,
     balancer_count: AtomicU64,
+    lower_balancer_count: AtomicU64,
 }
 
 impl ProcessStatus {
@@ -118,14 +121,34 @@
         self.inner.balancer_count.load(Ordering::Relaxed)
     }
 
-    /// Publishes the state of the event loop.
-    pub fn publish(&self, is_ready: bool, routes_version: u64, balancer_count: u64) {
+    /// Returns the place of this process, a balancer, among the known ones that watch the
+    /// configuration.
+    pub fn watch_schedule(&self) -> WatchSchedule {
+        WatchSchedule {
+            balancer_count: self.balancer_count() as u32 + 1,
+            rank: self.inner.lower_balancer_count.load(Ordering::Relaxed) as u32,
+        }
+    }
+
+    /// Publishes the state of the event loop. `balancers` holds the addresses of the known
+    /// balancers, and `address` that of the process.
+    pub fn publish(
+        &self,
+        is_ready: bool,
+        routes_version: u64,
+        balancers: &[BalancerRecord],
+        address: Ipv4Addr,
+    ) {
+        let lower_count = balancers.partition_point(|record| record.peer.address < address);
         self.inner.is_ready.store(is_ready, Ordering::Relaxed);
         self.inner
             .routes_version
             .store(routes_version, Ordering::Relaxed);
         self.inner
             .balancer_count
-            .store(balancer_count, Ordering::Relaxed);
+            .store(balancers.len() as u64, Ordering::Relaxed);
+        self.inner
+            .lower_balancer_count
+            .store(lower_count as u64, Ordering::Relaxed);
     }
 }
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -4,6 +4,7 @@
 
 use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::host::FlowHost;
+use hyssopstair_flows::members::BalancerRecord;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_flows::packet::RawPacket;
 use hyssopstair_flows::routes::RouteTable;
@@ -111,11 +112,11 @@
         }
     }
 
-    /// Returns the number of known balancers.
-    pub fn balancer_count(&self) -> usize {
+    /// Returns the known balancers, sorted by address.
+    pub fn balancers(&self) -> &[BalancerRecord] {
         match self {
-            Self::Balancer(balancer) => balancer.members().balancers().len(),
-            Self::Host(host) => host.members().balancers().len(),
+            Self::Balancer(balancer) => balancer.members().balancers(),
+            Self::Host(host) => host.members().balancers(),
         }
     }
 
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -304,7 +304,8 @@
         self.status.publish(
             self.forwarder.is_ready(now) && self.stop_requested_at.is_none(),
             self.forwarder.routes_version(),
-            self.forwarder.balancer_count() as u64,
+            self.forwarder.balancers(),
+            *self.settings.packets.ip(),
         );
         self.flush_outbox(now);
         self.journal.flush(now, false);
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -3,9 +3,6 @@
 //! Balancers watch the configuration and register themselves. Hosts read from the
 //! store only what they have not received from a peer.
 
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -32,21 +29,6 @@
 use crate::carry::store::StoreError;
 use crate::carry::store_eras::StoreEras;
 
-/// Minimum time for which a watch waits for a change. A silent connection is detected after
-/// the time of the watch; until then, new versions arrive from peers.
-const MIN_WATCH_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// Maximum time for which a watch waits for a change.
-const MAX_WATCH_TIMEOUT: Duration = Duration::from_secs(16);
-
-/// Number of balancers up to which watches wait for [`MIN_WATCH_TIMEOUT`]. With more of
-/// them, each waits longer, so that all together make as many calls, until
-/// [`MAX_WATCH_TIMEOUT`] is reached.
-const MIN_TIMEOUT_BALANCERS: u32 = 6;
-
-/// Shortest time of a watch after a change, in percent of the usual one.
-const MIN_FIRST_WATCH_PERCENT: u64 = 10;
-
 /// Delay between a change and the next watch, so that a burst of changes costs few
 /// calls. A change has to be in force within three seconds.
 const WATCH_DELAY: Duration = Duration::from_millis(250);
@@ -101,13 +83,16 @@
         let mut connection = self.connect();
         let mut known_position: Option<StorePosition> = None;
         let mut is_store_lost = false;
-        let mut has_changed = true;
+        let mut is_first_watch = true;
         loop {
             let step = async {
                 match known_position {
-                    None => self.read_configuration(&mut connection).await,
+                    None => {
+                        let position = self.read_configuration(&mut connection).await?;
+                        Ok((position, true))
+                    }
                     Some(position) => {
-                        let timeout = self.watch_timeout(has_changed, position.revision);
+                        let timeout = self.status.watch_schedule().next_timeout(is_first_watch);
                         self.wait_for_change(&mut connection, position, timeout)
                             .await
                     }
@@ -122,14 +107,17 @@
                     () = self.eras.wait_for_newer(known.era) => Err(StoreError::Restored),
                 },
             };
-            match result.and_then(|position| self.check_position(known_position, position)) {
-                Ok(position) => {
+            let result = result.and_then(|(position, has_changed)| {
+                let position = self.check_position(known_position, position)?;
+                Ok((position, has_changed))
+            });
+            match result {
+                Ok((position, has_changed)) => {
                     if is_store_lost {
                         self.report_store_status(None).await;
                     }
                     is_store_lost = false;
-                    has_changed =
-                        known_position.is_none_or(|known| position.revision > known.revision);
+                    is_first_watch = has_changed;
                     if has_changed && known_position.is_some() {
                         sleep(WATCH_DELAY).await;
                     }
@@ -388,31 +376,14 @@
         Ok(position)
     }
 
-    /// Returns the time for which the next watch waits. Changes reach all balancers at the
-    /// same time, so the first watch after one takes a random part of the time; at any
-    /// moment, the watch of some balancer then ends soon and shows whether the store's
-    /// connections have gone silent.
-    fn watch_timeout(&self, has_changed: bool, revision: u64) -> Duration {
-        let balancer_count = self.status.balancer_count() as u32 + 1;
-        let timeout = (MIN_WATCH_TIMEOUT * balancer_count / MIN_TIMEOUT_BALANCERS)
-            .clamp(MIN_WATCH_TIMEOUT, MAX_WATCH_TIMEOUT);
-        if !has_changed {
-            return timeout;
-        }
-        let mut hasher = DefaultHasher::new();
-        (self.address, revision).hash(&mut hasher);
-        let percent = MIN_FIRST_WATCH_PERCENT + hasher.finish() % (101 - MIN_FIRST_WATCH_PERCENT);
-        timeout * percent as u32 / 100
-    }
-
     /// Waits for a change after a position, and applies the newest configuration.
-    /// Returns the position at which the next watch starts.
+    /// Returns the position at which the next watch starts, and whether there was a change.
     async fn wait_for_change(
         &self,
         connection: &mut StoreConnection,
         known: StorePosition,
         timeout: Duration,
-    ) -> Result<StorePosition, StoreError> {
+    ) -> Result<(StorePosition, bool), StoreError> {
         let request = store::watch_prefix(store::CONFIGURATION_KEY, known.revision, timeout);
         let response = connection.call(request, timeout).await?;
         let items = store::decode_items(&response.body)?;
@@ -420,11 +391,13 @@
             era: response.era,
             revision: items.store_revision,
         };
-        if let Some(item) = items.items.into_iter().next_back() {
+        let newest_item = items.items.into_iter().next_back();
+        let has_changed = newest_item.is_some();
+        if let Some(item) = newest_item {
             self.apply_configuration(item, ConfigurationSource::Watch, position)
                 .await;
         }
-        Ok(position)
+        Ok((position, has_changed))
     }
 
     async fn apply_configuration(
