Use a lease only in the era of the store that granted it

Callers would have seen: balancers that start find no others in the store, and lists of open flows end with the lease of somebody else.

A lease was known by its ID alone. After the store has come back from a copy, the ID may be given to another process: the renewal succeeds, and the registration, which is gone, is never written again.

Change: a lease has the era that granted it. A response of another era ends it: the balancer registers anew at once, and lists of open flows are written again under a new lease.

--- a/crates/hyssopstaird/src/carry/mod.rs
+++ b/crates/hyssopstaird/src/carry/mod.rs
@@ -15,4 +15,5 @@
 pub mod sockets;
 pub mod store;
 pub mod store_eras;
+pub mod store_lease;
 pub mod store_tasks;
--- a/crates/hyssopstaird/src/carry/store.rs
+++ b/crates/hyssopstaird/src/carry/store.rs
@@ -47,6 +47,13 @@
     Decode(#[from] hyssopstair_adapter::store::StoreDecodeError),
 }
 
+impl StoreError {
+    /// Returns whether the error of a call that used a lease means that the lease is gone.
+    pub fn ends_lease(&self) -> bool {
+        matches!(self, Self::Restored | Self::Rejected(StatusCode::NOT_FOUND))
+    }
+}
+
 /// A successful response of the store.
 #[derive(Debug)]
 pub struct StoreResponse {
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -28,6 +28,7 @@
 use crate::carry::store::StoreConnection;
 use crate::carry::store::StoreError;
 use crate::carry::store_eras::StoreEras;
+use crate::carry::store_lease::StoreLease;
 
 /// Delay between a change and the next watch, so that a burst of changes costs few
 /// calls. A change has to be in force within three seconds.
@@ -183,24 +184,23 @@
     /// whenever it registers anew.
     pub async fn maintain_registration(self) {
         let mut connection = self.connect();
-        let mut lease: Option<u64> = None;
+        let mut lease: Option<StoreLease> = None;
         loop {
             let result = match lease {
-                None => self.register(&mut connection).await.map(Some),
-                Some(lease) => renew_lease(&mut connection, lease).await,
+                None => self.register(&mut connection).await,
+                Some(lease) => lease.renew(&mut connection).await.map(|()| lease),
             };
-            let delay = match result {
-                Ok(Some(current_lease)) => {
+            match result {
+                Ok(current_lease) => {
                     lease = Some(current_lease);
-                    RENEW_INTERVAL
-                }
-                Ok(None) => {
-                    lease = None;
-                    continue;
+                    let new_era = self.eras.wait_for_newer(current_lease.era());
+                    if timeout(RENEW_INTERVAL, new_era).await.is_ok() {
+                        lease = None;
+                    }
                 }
-                Err(_) => RETRY_DELAY * 2,
-            };
-            sleep(delay).await;
+                Err(error) if error.ends_lease() && lease.is_some() => lease = None,
+                Err(_) => sleep(RETRY_DELAY * 2).await,
+            }
         }
     }
 
@@ -228,9 +228,14 @@
         let mut connection = self.connect();
         let mut lease = None;
         while let Some(requests) = save_receiver.recv().await {
-            let saved = self
+            let mut saved = self
                 .put_flow_lists(&mut connection, &mut lease, &requests)
                 .await;
+            if matches!(saved, Err(StoreError::Restored)) {
+                saved = self
+                    .put_flow_lists(&mut connection, &mut lease, &requests)
+                    .await;
+            }
             match saved {
                 Ok(()) => {
                     self.send_command(CarryCommand::ConfirmSaves(requests))
@@ -250,19 +255,18 @@
     async fn put_flow_lists(
         &self,
         connection: &mut StoreConnection,
-        lease: &mut Option<(u64, Instant)>,
+        lease: &mut Option<StoreLease>,
         requests: &[SaveRequest],
     ) -> Result<(), StoreError> {
-        let lease_id = match *lease {
-            Some((id, granted_at)) if granted_at.elapsed() < SAVED_FLOWS_LEASE_PERIOD => id,
-            _ => {
-                let request = store::grant_lease(SAVED_FLOWS_TTL);
-                let response = connection.call(request, Duration::ZERO).await?;
-                let (id, _) = store::decode_lease(&response.body)?;
-                *lease = Some((id, Instant::now()));
-                id
-            }
+        let now = Instant::now();
+        let usable_lease = lease.filter(|lease| {
+            lease.era() == self.eras.newest() && lease.age(now) < SAVED_FLOWS_LEASE_PERIOD
+        });
+        let current_lease = match usable_lease {
+            Some(lease) => lease,
+            None => StoreLease::grant(connection, SAVED_FLOWS_TTL, now).await?,
         };
+        *lease = Some(current_lease);
         let keys: Vec<String> = requests
             .iter()
             .map(|request| store::saved_flows_key(request.host, request.part))
@@ -272,9 +276,7 @@
             .zip(requests)
             .map(|(key, request)| (key.as_str(), request.encoded_part.as_slice()))
             .collect();
-        let request = store::put_keys(&entries, lease_id);
-        connection.call(request, Duration::ZERO).await?;
-        Ok(())
+        current_lease.put(connection, &entries).await
     }
 
     /// Reads the flows that the former process of the host has saved, and passes them to
@@ -323,21 +325,13 @@
         .await;
     }
 
-    /// Registers a balancer under a new lease, and returns the ID of the lease.
-    async fn register(&self, connection: &mut StoreConnection) -> Result<u64, StoreError> {
+    /// Registers a balancer under a new lease, and returns the lease.
+    async fn register(&self, connection: &mut StoreConnection) -> Result<StoreLease, StoreError> {
         let _ = self.list_balancers(connection).await;
-        let response = connection
-            .call(store::grant_lease(REGISTRATION_TTL), Duration::ZERO)
-            .await?;
-        let (lease, _) = store::decode_lease(&response.body)?;
+        let lease = StoreLease::grant(connection, REGISTRATION_TTL, Instant::now()).await?;
         let key = format!("{}{}", store::BALANCER_PREFIX, self.address);
         let value = self.address.to_string();
-        connection
-            .call(
-                store::put_key(&key, value.as_bytes(), lease),
-                Duration::ZERO,
-            )
-            .await?;
+        lease.put(connection, &[(&key, value.as_bytes())]).await?;
         // Balancers that started at the same time have registered by now.
         let _ = self.list_balancers(connection).await;
         Ok(lease)
@@ -450,21 +444,6 @@
     }
 }
 
-/// Renews a lease and returns its ID, or `None` if the lease has expired.
-async fn renew_lease(
-    connection: &mut StoreConnection,
-    lease: u64,
-) -> Result<Option<u64>, StoreError> {
-    match connection
-        .call(store::renew_lease(lease), Duration::ZERO)
-        .await
-    {
-        Ok(_) => Ok(Some(lease)),
-        Err(StoreError::Rejected(StatusCode::NOT_FOUND)) => Ok(None),
-        Err(error) => Err(error),
-    }
-}
-
 fn decode_contact(item: &StoreItem) -> Option<Ipv4Addr> {
     let value = item.value.as_deref()?;
     std::str::from_utf8(value).ok()?.parse().ok()
