Save the open flows again when the store has come back from a copy

Callers would have seen: after an outage of an instance, requests on flows that no list names, which fail instead of being reset in time.

A host counted its flows as saved once a balancer had confirmed them. A store that comes back from a copy has lost them, and a list is only sent again when an eighth of the flows has changed.

Change: balancers add the newest era of the store to their hellos, as bytes after the message, so that builds that do not know them ignore them. A host that hears of a later era forgets what was confirmed. Both log and count it (process: the store came back from a copy, hyssopstair_store_restores_total).

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -21,6 +21,7 @@
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::carried::FlowQuestion;
 use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::carried::StoreEra;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::balancer::opening::OPENING_RETRANSMIT_WINDOW;
@@ -39,6 +40,7 @@
 use crate::packet::RawPacket;
 use crate::route_transfer::RouteReplica;
 use crate::routes::RouteTable;
+use crate::store_position::KnownEra;
 use crate::table::FlowTable;
 
 /// Interval between ticks while flows are pending.
@@ -99,6 +101,7 @@
     /// How long hosts take to answer questions.
     reply_time: ReplyTime,
     save_queue: SaveQueue,
+    store_era: KnownEra,
     hello_number: u32,
     next_hello_at: MonotonicTime,
     first_host_joined_at: Option<MonotonicTime>,
@@ -129,6 +132,7 @@
             questions_allowed_at: MonotonicTime::default(),
             reply_time: ReplyTime::default(),
             save_queue: SaveQueue::default(),
+            store_era: KnownEra::default(),
             hello_number: 0,
             next_hello_at: now,
             first_host_joined_at: None,
@@ -186,6 +190,13 @@
         }
     }
 
+    /// Records the newest era of the store. The next tick then announces it to the peers.
+    pub fn record_store_era(&mut self, era: StoreEra, outbox: &mut FlowOutbox) {
+        if self.store_era.record(era, outbox) {
+            self.schedule_hellos();
+        }
+    }
+
     /// Handles a packet from a caller: offers its flow to a host, forwards it to the
     /// flow's owner, or searches for the owner.
     pub fn receive_caller_packet(
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -10,6 +10,7 @@
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::carried::HelloExtension;
 use hyssopstair_wire::carried::HelloMessage;
 use hyssopstair_wire::carried::HelloRole;
 use hyssopstair_wire::carried::MAX_BATCH_FLOWS;
@@ -144,7 +145,8 @@
         }
         if is_new || hello.wants_answer {
             let answer = self.build_hello(false, now);
-            outbox.enqueue_message(from, &CarryMessage::Hello(answer), &[]);
+            let extension = self.build_hello_extension();
+            outbox.enqueue_message(from, &CarryMessage::Hello(answer), &extension);
         }
         match &hello.role {
             HelloRole::Host(host) => {
@@ -188,8 +190,9 @@
         self.hello_number += 1;
         let hello = CarryMessage::Hello(self.build_hello(false, now));
         let hello_request = CarryMessage::Hello(self.build_hello(true, now));
+        let extension = self.build_hello_extension();
         for host in self.members.hosts() {
-            outbox.enqueue_message(host.peer.address, &hello, &[]);
+            outbox.enqueue_message(host.peer.address, &hello, &extension);
         }
         for contact in &self.contacts {
             let message = if self.members.has_balancer(*contact) {
@@ -197,10 +200,17 @@
             } else {
                 &hello_request
             };
-            outbox.enqueue_message(*contact, message, &[]);
+            outbox.enqueue_message(*contact, message, &extension);
         }
     }
 
+    fn build_hello_extension(&self) -> Vec<u8> {
+        let extension = HelloExtension {
+            store_era: self.store_era.get(),
+        };
+        extension.encode()
+    }
+
     fn build_hello(&self, wants_answer: bool, now: MonotonicTime) -> HelloMessage {
         HelloMessage {
             started: self.identity.started_unix_millis,
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -5,6 +5,7 @@
 
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::carried::ServerState;
+use hyssopstair_wire::carried::StoreEra;
 
 /// An event that is logged and counted.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -133,6 +134,13 @@
         /// What was decided about them.
         verdict: FormerFlowsVerdict,
     },
+    /// The store has come back from a copy; what was written to it since is gone.
+    StoreRestored {
+        /// The era of the store.
+        era: StoreEra,
+        /// The era that was known before.
+        former_era: StoreEra,
+    },
     /// A datagram was dropped.
     Dropped {
         /// Why it was dropped.
@@ -183,11 +191,13 @@
     Dropped,
     /// Lists of flows of a former process.
     FormerFlows,
+    /// Returns of the store from a copy.
+    StoreRestored,
 }
 
 impl EventKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Placed,
         Self::PassedOn,
         Self::Offered,
@@ -203,6 +213,7 @@
         Self::Routes,
         Self::Dropped,
         Self::FormerFlows,
+        Self::StoreRestored,
     ];
 
     /// Returns the name of the counter.
@@ -223,6 +234,7 @@
             Self::Routes => "hyssopstair.routes.changes",
             Self::Dropped => "hyssopstair.datagram.dropped",
             Self::FormerFlows => "hyssopstair.flow.former_lists",
+            Self::StoreRestored => "hyssopstair.store.restores",
         }
     }
 
@@ -244,6 +256,7 @@
             Self::Routes => "Versions of routes put in force",
             Self::Dropped => "Datagrams dropped",
             Self::FormerFlows => "Lists of flows that a former process had saved",
+            Self::StoreRestored => "Returns of the store from a copy",
         }
     }
 }
@@ -267,6 +280,7 @@
             Self::Routes { .. } => EventKind::Routes,
             Self::Dropped { .. } => EventKind::Dropped,
             Self::FormerFlows { .. } => EventKind::FormerFlows,
+            Self::StoreRestored { .. } => EventKind::StoreRestored,
         }
     }
 }
--- a/crates/flows/src/host/peers.rs
+++ b/crates/flows/src/host/peers.rs
@@ -7,6 +7,7 @@
 
 use hyssopstair_wire::carried::CarryLoad;
 use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::HelloExtension;
 use hyssopstair_wire::carried::HelloMessage;
 use hyssopstair_wire::carried::HelloRole;
 use hyssopstair_wire::carried::HostHello;
@@ -43,7 +44,11 @@
             CarryMessage::Locate { questions } => {
                 self.answer_questions(from, questions, now, outbox);
             }
-            CarryMessage::Hello(hello) => self.receive_hello(from, hello, now, outbox),
+            CarryMessage::Hello(hello) => {
+                self.receive_hello(from, hello, now, outbox);
+                let extension = HelloExtension::decode(payload);
+                self.record_store_era(extension.store_era, outbox);
+            }
             CarryMessage::Flows { owner, flows } if *owner == self.identity.address => {
                 if !self.is_relearning {
                     return;
--- a/crates/flows/src/host/saved_flows.rs
+++ b/crates/flows/src/host/saved_flows.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::StoreEra;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::event::BreakReason;
@@ -20,6 +21,7 @@
 use crate::saved_flows::SaveSchedule;
 use crate::saved_flows::SavedFlow;
 use crate::saved_flows::SavedFlowList;
+use crate::store_position::KnownEra;
 
 /// Interval at which the host checks whether its flows are to be saved.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -38,6 +40,7 @@
     pending_parts: Vec<(u32, Vec<SavedFlow>)>,
     /// Number of lists that were not confirmed as a whole.
     failed_saves: usize,
+    store_era: KnownEra,
     /// The list of the former process, until the server shows whether it holds the flows.
     former_list: Option<SavedFlowList>,
 }
@@ -50,6 +53,7 @@
             request_number: 0,
             pending_parts: Vec::new(),
             failed_saves: 0,
+            store_era: KnownEra::default(),
             former_list: None,
         }
     }
@@ -77,6 +81,16 @@
         }
     }
 
+    /// Records the newest era of the store. If the store has come back from a copy, the saved
+    /// lists may be gone, and all flows are to be saved again.
+    pub fn record_store_era(&mut self, era: StoreEra, outbox: &mut FlowOutbox) {
+        if self.saved.store_era.record(era, outbox) {
+            self.saved.schedule.forget_saved();
+            // A confirmation that is under way may be of the former era.
+            self.saved.pending_parts.clear();
+        }
+    }
+
     /// Sends a list of flows to a balancer in parts, each of which fits into a datagram.
     fn send_flow_list(
         &mut self,
--- a/crates/flows/src/saved_flows.rs
+++ b/crates/flows/src/saved_flows.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Records that the store may have lost everything that it has saved.
+    pub fn forget_saved(&mut self) {
+        self.saved_flows.clear();
+    }
+
     /// Returns whether a reset at the saved position would reach the caller of the flow.
     fn covers(&self, current: &SavedFlow) -> bool {
         self.find(&current.flow).is_ok_and(|index| {
--- a/crates/flows/src/store_position.rs
+++ b/crates/flows/src/store_position.rs
@@ -5,7 +5,10 @@
 //! then begins a new era. A revision therefore names a change only together with its era,
 //! and so do the identifiers of leases.
 
-pub use hyssopstair_wire::carried::StoreEra;
+use hyssopstair_wire::carried::StoreEra;
+
+use crate::event::FlowEvent;
+use crate::outbox::FlowOutbox;
 
 /// A position in the history of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,3 +45,28 @@
         }
     }
 }
+
+/// The newest era of the store that a process knows.
+#[derive(Debug, Default)]
+pub struct KnownEra(StoreEra);
+
+impl KnownEra {
+    /// Returns the era; 0 if none is known.
+    pub fn get(&self) -> StoreEra {
+        self.0
+    }
+
+    /// Records an era, unless a newer one is known, and returns whether the store has come
+    /// back from a copy since the known one.
+    pub fn record(&mut self, era: StoreEra, outbox: &mut FlowOutbox) -> bool {
+        if era <= self.0 {
+            return false;
+        }
+        let former_era = std::mem::replace(&mut self.0, era);
+        if former_era == 0 {
+            return false;
+        }
+        outbox.record_event(FlowEvent::StoreRestored { era, former_era });
+        true
+    }
+}
--- a/crates/flows/tests/saved_flows.rs
+++ b/crates/flows/tests/saved_flows.rs
@@ -16,6 +16,7 @@
 use hyssopstair_flows::saved_flows::combine_parts;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::carried::HelloExtension;
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::any;
 use proptest::proptest;
@@ -224,6 +225,52 @@
     .assert_eq(&saves.join("\n"));
 }
 
+#[test]
+fn a_confirmed_list_is_sent_again_once_the_store_has_come_back_from_a_copy() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = host_with_flow(5_001);
+    host.record_store_era(3, &mut outbox);
+    let mut saves = vec![save_at(&mut host, 1_200, true)];
+    saves.push(save_at(&mut host, 4_000, true));
+    host.record_store_era(3, &mut outbox);
+    saves.push(save_at(&mut host, 6_500, true));
+    host.record_store_era(4, &mut outbox);
+    saves.push(save_at(&mut host, 9_000, true));
+    expect![[r#"
+        1200 ms
+        Peer(10.0.2.1) part 0: 100.64.0.7:4001 at 5001
+        4000 ms
+        6500 ms
+        9000 ms
+        Peer(10.0.2.1) part 0: 100.64.0.7:4001 at 5001"#]]
+    .assert_eq(&saves.join("\n"));
+}
+
+#[test]
+fn the_era_in_the_hello_of_a_balancer_is_learned_and_a_missing_one_is_ignored() {
+    let mut host = new_ready_host(1);
+    let from = balancer_address(1);
+    let mut lines = Vec::new();
+    for (number, era) in [(1, Some(2)), (2, None), (3, Some(3)), (4, Some(2))] {
+        let extension = era.map(|store_era| HelloExtension { store_era }.encode());
+        let bytes = extension.unwrap_or_default();
+        let mut outbox = FlowOutbox::default();
+        let hello = balancer_hello(number);
+        host.receive_peer_message(from, &hello, None, &bytes, at(100), &mut outbox);
+        let restores = outbox.events().iter().filter_map(|event| match event {
+            FlowEvent::StoreRestored { era, former_era } => Some(format!("{former_era} to {era}")),
+            _ => None,
+        });
+        lines.push(format!("{era:?}: {}", restores.collect::<String>()));
+    }
+    expect![[r#"
+        Some(2): 
+        None: 
+        Some(3): 2 to 3
+        Some(2): "#]]
+    .assert_eq(&lines.join("\n"));
+}
+
 #[test]
 fn a_list_that_is_not_confirmed_is_sent_to_another_balancer() {
     let mut host = host_with_flow(5_001);
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -288,6 +288,11 @@
                 "verdict": format!("{verdict:?}"),
             }),
         ),
+        FlowEvent::StoreRestored { era, former_era } => (
+            "process",
+            "the store came back from a copy",
+            json!({ "era": era, "former_era": former_era }),
+        ),
         FlowEvent::Dropped { reason } => (
             "process",
             "dropped a datagram",
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -9,6 +9,7 @@
 use hyssopstair_flows::packet::RawPacket;
 use hyssopstair_flows::routes::RouteTable;
 use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::StoreEra;
 use hyssopstair_wire::time::MonotonicTime;
 
 /// The forwarding logic of a process: a balancer or a host.
@@ -80,6 +81,14 @@
         }
     }
 
+    /// Records the newest era of the store that the process knows from the store itself.
+    pub fn record_store_era(&mut self, era: StoreEra, outbox: &mut FlowOutbox) {
+        match self {
+            Self::Balancer(balancer) => balancer.record_store_era(era, outbox),
+            Self::Host(host) => host.record_store_era(era, outbox),
+        }
+    }
+
     /// Adds addresses at which there may be balancers, so that hellos are sent to them.
     pub fn add_contacts(&mut self, contacts: &[Ipv4Addr]) {
         match self {
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -24,7 +24,6 @@
 use hyssopstair_flows::outbox::Destination;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_flows::packet::RawPacket;
-use hyssopstair_flows::store_position::StoreEra;
 use hyssopstair_rules::carry_settings::CarryRole;
 use hyssopstair_rules::carry_settings::CarrySettings;
 use hyssopstair_rules::carry_settings::ServerSettings;
@@ -101,8 +100,6 @@
     packet_socket: DatagramSocket,
     status: ProcessStatus,
     eras: StoreEras,
-    /// The newest era that was logged; 0 if none is known.
-    store_era: StoreEra,
     command_sender: mpsc::Sender<CarryCommand>,
     command_receiver: mpsc::Receiver<CarryCommand>,
     /// Passes the lists of open flows that a balancer has collected to the task that saves
@@ -146,7 +143,6 @@
             packet_socket,
             status,
             eras: StoreEras::default(),
-            store_era: 0,
             command_sender,
             command_receiver,
             save_sender,
@@ -300,7 +296,9 @@
         self.metrics
             .routes_version
             .set(self.forwarder.routes_version() as i64);
-        self.record_store_era(now);
+        let era = self.eras.newest();
+        self.forwarder.record_store_era(era, &mut self.outbox);
+        self.metrics.store_era.set(era as i64);
         self.status.publish(
             self.forwarder.is_ready(now) && self.stop_requested_at.is_none(),
             self.forwarder.routes_version(),
@@ -405,21 +403,6 @@
         self.flush_outbox(now);
     }
 
-    /// Logs that the store has begun a new era.
-    fn record_store_era(&mut self, now: MonotonicTime) {
-        let era = self.eras.newest();
-        if era == self.store_era {
-            return;
-        }
-        if self.store_era > 0 {
-            let fields = json!({ "era": era, "former_era": self.store_era });
-            self.journal
-                .write_process("the store came back from a copy", fields, now);
-        }
-        self.store_era = era;
-        self.metrics.store_era.set(era as i64);
-    }
-
     /// Logs what a task has learned about the configuration in the store.
     fn record_configuration(&mut self, observation: &ConfigurationObservation, now: MonotonicTime) {
         let (message, position, mut fields) = match observation {
--- a/crates/hyssopstaird/src/carry/store.rs
+++ b/crates/hyssopstaird/src/carry/store.rs
@@ -14,7 +14,7 @@
 use hyssopstair_adapter::store::ERA_HEADER;
 use hyssopstair_adapter::store::StoreRequest;
 use hyssopstair_adapter::store::decode_era;
-use hyssopstair_flows::store_position::StoreEra;
+use hyssopstair_wire::carried::StoreEra;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
--- a/crates/hyssopstaird/src/carry/store_eras.rs
+++ b/crates/hyssopstaird/src/carry/store_eras.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hyssopstair_flows::store_position::StoreEra;
+use hyssopstair_wire::carried::StoreEra;
 use tokio::sync::watch;
 
 /// The newest era of the store that any task of the process has seen in a response.
--- a/crates/hyssopstaird/src/carry/store_lease.rs
+++ b/crates/hyssopstaird/src/carry/store_lease.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyssopstair_adapter::store;
-use hyssopstair_flows::store_position::StoreEra;
+use hyssopstair_wire::carried::StoreEra;
 use tokio::time::Instant;
 
 use crate::carry::store::StoreConnection;
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -148,6 +148,28 @@
     pub role: HelloRole,
 }
 
+/// Fields that follow a hello of a balancer. A process that does not know them ignores the
+/// bytes after the message, and one that misses them uses the defaults, so that processes
+/// of different builds understand each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct HelloExtension {
+    /// The newest era of the store that the sender knows.
+    pub store_era: StoreEra,
+}
+
+impl HelloExtension {
+    /// Returns the encoded fields.
+    pub fn encode(&self) -> Vec<u8> {
+        // Encoding into a vector cannot fail; if it did, the receiver would use the defaults.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Decodes the bytes after a hello. Missing or malformed ones yield the defaults.
+    pub fn decode(bytes: &[u8]) -> Self {
+        postcard::take_from_bytes(bytes).map_or_else(|_| Self::default(), |(fields, _)| fields)
+    }
+}
+
 /// The reason why a packet is forwarded to a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardPurpose {
