Let the store of the modelled fleet come back from copies

Half of the seeds of the fuzz bring the store back from a copy 0.5 to 8 s old, three quarters of these before an outage within 2 s.

--- a/crates/flows/tests/fuzz.rs
+++ b/crates/flows/tests/fuzz.rs
@@ -70,9 +70,31 @@
         let fault = random_fault(&mut random, &plan);
         plan.faults.push((at, fault));
     }
+    add_restore(seed, &mut plan);
     plan
 }
 
+/// Lets the store of half of the plans come back from a copy, often shortly before an
+/// outage. The draws are separate from those of the other faults.
+fn add_restore(seed: u64, plan: &mut WorldPlan) {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0xc0b1);
+    if random.random_bool(0.5) {
+        return;
+    }
+    let at = random.random_range(3_000..16_000);
+    let age_millis = random.random_range(500..8_000);
+    plan.faults.push((at, Fault::RestoreStore(age_millis)));
+    let host = random.random_range(1..=plan.hosts);
+    let outage = match random.random_range(0..4) {
+        0 => Fault::LosePower,
+        1 => Fault::KillHost(host),
+        2 => Fault::KillAllProcesses,
+        _ => return,
+    };
+    plan.faults
+        .push((at + random.random_range(0..2_000), outage));
+}
+
 /// Runs the simulation of a seed. Returns a description of the first violations, at most
 /// three, and of a run in which fewer than 50 requests were answered.
 fn run_seed(seed: u64) -> Vec<String> {
--- a/crates/flows/tests/model/world/faults.rs
+++ b/crates/flows/tests/model/world/faults.rs
@@ -61,6 +61,7 @@
                     self.crash_server(host);
                 }
             }
+            Fault::RestoreStore(age_millis) => self.restore_store(age_millis),
             Fault::LosePowerTogether => {
                 self.kill_all_processes();
                 for host in 1..=self.plan.hosts {
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -123,6 +123,9 @@
     LosePower,
     /// As [`Fault::LosePower`], but each server starts shortly before its host.
     LosePowerTogether,
+    /// The store comes back from a copy that is this many milliseconds old, and balancers
+    /// learn of its new era.
+    RestoreStore(u64),
 }
 
 /// A policy by which balancers choose hosts for new flows.
@@ -256,6 +259,8 @@
         balancer: Ipv4Addr,
         saves: Vec<SaveRequest>,
     },
+    /// A balancer learns the era of the store.
+    LearnEra(Ipv4Addr),
     /// A process that was stopping ends.
     CompleteStop(Ipv4Addr),
     /// A process can reach the others again.
@@ -315,6 +320,10 @@
     pub results_by_second: Vec<(u32, u32)>,
     /// The encoded parts of the lists of open flows in the store, by host and part.
     saved_flows: BTreeMap<(Ipv4Addr, u8), Vec<u8>>,
+    /// All parts that the store has saved, with the time, oldest first.
+    save_history: Vec<(u64, SaveRequest)>,
+    /// The era of the store.
+    store_era: u64,
     /// Number of datagrams that carried a packet to a host to find out whether its server
     /// holds the flow.
     pub probe_count: u64,
@@ -347,6 +356,8 @@
             tally: CallerTally::default(),
             results_by_second: vec![(0, 0); (plan.duration_millis / 1_000) as usize + 1],
             saved_flows: BTreeMap::new(),
+            save_history: Vec::new(),
+            store_era: 1,
             probe_count: 0,
             traced_caller: None,
             start_count: 0,
@@ -482,6 +493,7 @@
             Event::StartFlow { caller, generation } => self.start_flow(caller, generation),
             Event::Restart(address) => self.start_process(address),
             Event::ReadSavedFlows { address, list } => self.receive_saved_flows(address, list),
+            Event::LearnEra(balancer) => self.tell_era(balancer),
             Event::CompleteSaves { balancer, saves } => self.complete_saves(balancer, saves),
             Event::CompleteStop(address) => self.end_process(address, true),
             Event::EndPartition(address) => self.process_mut(address).is_partitioned = false,
@@ -573,6 +585,9 @@
         process.next_tick_at = now.0;
         self.schedule(now.0, Event::Tick(address));
         self.schedule_saved_flows(address);
+        if self.plan.saves_flows {
+            self.tell_era(address);
+        }
     }
 
     /// Ends a process and schedules its restart. Only an abrupt end counts as a fault.
--- a/crates/flows/tests/model/world/store.rs
+++ b/crates/flows/tests/model/world/store.rs
@@ -47,11 +47,40 @@
             }
         });
         for save in saves {
+            self.save_history.push((self.now, save.clone()));
             self.saved_flows
                 .insert((save.host, save.part), save.encoded_part);
         }
     }
 
+    /// Brings the store back from a copy of this age, in the next era.
+    pub(super) fn restore_store(&mut self, age_millis: u64) {
+        let copied_at = self.now.saturating_sub(age_millis * 1_000);
+        self.save_history
+            .retain(|(saved_at, _)| *saved_at <= copied_at);
+        self.saved_flows = self
+            .save_history
+            .iter()
+            .map(|(_, save)| ((save.host, save.part), save.encoded_part.clone()))
+            .collect();
+        self.store_era += 1;
+        let all: Vec<Ipv4Addr> = self.processes.keys().copied().collect();
+        for (number, address) in all.into_iter().enumerate() {
+            let delay = STORE_DELAY_MICROS * (1 + number as u64);
+            self.schedule(self.now + delay, Event::LearnEra(address));
+        }
+    }
+
+    /// Tells the era of the store to a balancer. Hosts hear of it from balancers.
+    pub(super) fn tell_era(&mut self, address: Ipv4Addr) {
+        let era = self.store_era;
+        self.update_process(address, |role, outbox| {
+            if let ProcessRole::Balancer(balancer) = role {
+                balancer.record_store_era(era, outbox);
+            }
+        });
+    }
+
     /// Delivers the flows that the former process of a host has saved.
     pub(super) fn receive_saved_flows(&mut self, address: Ipv4Addr, list: SavedFlowList) {
         let now = self.time();
