Bring the store back from copies in the soak, and check the last version

The soak takes the store down and brings it back from a copy 0.5 to 6 s old, at least once a run; the operators write the newest configuration again, or the next one, and others make up to 30 changes, so that revisions are given out again.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -9,6 +9,8 @@
 //! - A new flow reaches a service that its route names in the newest configuration, or in
 //!   an older one that was replaced within the time that changes may take.
 //! - No process exits unexpectedly, and the version of its routes never decreases.
+//! - At the end of a run, after a period without faults, all processes use the newest
+//!   configuration.
 //! - At the end of a run, after a period without faults, requests are answered.
 //!
 //! Invariants that involve times are checked only for processes without faults and
@@ -384,6 +386,21 @@
         }
     }
 
+    /// Checks that all processes use the newest version at the end of the run, after a period
+    /// without faults.
+    pub fn check_final_versions(&mut self, now: Instant, newest_version: u64) {
+        let outdated: Vec<String> = self
+            .versions
+            .iter()
+            .filter(|(_, _, version)| *version != newest_version)
+            .map(|(address, _, version)| format!("{address} has version {version}"))
+            .collect();
+        if !outdated.is_empty() {
+            let text = format!("version {newest_version} is not in force: {outdated:?}");
+            self.record_finding(now, &text);
+        }
+    }
+
     /// Counts a request by its outcome.
     pub fn count_request(&mut self, outcome: RequestOutcome) {
         let tallies = [
--- a/crates/soak/src/fleet/configuration.rs
+++ b/crates/soak/src/fleet/configuration.rs
@@ -30,13 +30,14 @@
                 })
             })
             .collect();
-        self.store.write_configuration(&json!({
+        *self.configuration.borrow_mut() = json!({
             "version": version * 3, "routes": routes, "limits": { "idleTimeoutMs": 15_000 },
             "services": [
                 { "name": "one", "healthCheckPath": "/healthz" },
                 { "name": "two", "healthCheckPath": "/healthz" },
             ],
-        }));
+        });
+        self.rewrite_configuration();
         let services = services
             .into_iter()
             .map(|(target, service)| (target, service.to_owned()))
@@ -45,6 +46,16 @@
             .borrow_mut()
             .record_configuration(Instant::now(), services);
     }
+
+    /// Returns the version of the newest configuration.
+    pub fn newest_version(&self) -> u64 {
+        self.configuration.borrow()["version"].as_u64().unwrap_or(0)
+    }
+
+    /// Writes the newest configuration, again if the store has lost it.
+    pub fn rewrite_configuration(&self) {
+        self.store.write_configuration(&self.configuration.borrow());
+    }
 }
 
 /// Returns the address with the given number to which callers send packets.
--- a/crates/soak/src/fleet/events.rs
+++ b/crates/soak/src/fleet/events.rs
@@ -89,6 +89,9 @@
                 self.checker.borrow_mut().record_store_fault(now);
                 self.store.compact_history();
             }
+            SoakEvent::RestoreStore(age, change_count) => {
+                self.restore_store(age, change_count, duration)
+            }
             SoakEvent::WriteConfiguration => self.write_configuration(),
         }
     }
@@ -239,6 +242,33 @@
         });
     }
 
+    /// Takes the store down and brings it back from a copy. The operators write the newest
+    /// configuration again, or the next one, and others make changes.
+    fn restore_store(&self, age: Duration, change_count: u8, down_time: Duration) {
+        let now = Instant::now();
+        let copy = {
+            let copies = self.store_copies.borrow();
+            let index = copies.partition_point(|(copied_at, _)| *copied_at + age <= now);
+            copies
+                .get(index.saturating_sub(1))
+                .map(|(_, copy)| copy.clone())
+        };
+        let Some(copy) = copy else {
+            return;
+        };
+        self.store_copies.borrow_mut().clear();
+        self.inject_store_fault(down_time, StoreFault::Down);
+        self.store.restore_copy(copy);
+        if change_count.is_multiple_of(2) {
+            self.rewrite_configuration();
+        } else {
+            self.write_configuration();
+        }
+        for number in 0..change_count {
+            self.store.write("others/key", &[number]);
+        }
+    }
+
     /// Sends random datagrams to the ports of a process for messages and for packets.
     fn send_random_datagrams(&self, index: usize) {
         let address = self.members.borrow()[index].process.address;
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -14,10 +14,12 @@
 use std::time::Instant;
 
 use http::Method;
+use hyssopstair_stand_in::state::StoreState;
 use hyssopstair_stand_in::store::StandInStore;
 use nix::sys::signal::Signal;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde_json::Value;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
@@ -43,6 +45,12 @@
 /// Interval at which the versions of the routes are checked, and timeout of each request.
 const VERSION_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which the store is copied.
+const COPY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Age from which a copy of the store is dropped.
+const MAX_COPY_AGE: Duration = Duration::from_secs(8);
+
 /// A process and its state.
 #[derive(Debug)]
 struct FleetMember {
@@ -70,6 +78,10 @@
     store: StandInStore,
     checker: Rc<RefCell<SoakChecker>>,
     balancer_count: usize,
+    /// Recent copies of the store with their times, oldest first.
+    store_copies: Rc<RefCell<Vec<(Instant, StoreState)>>>,
+    /// The newest configuration.
+    configuration: Rc<RefCell<Value>>,
     /// Number of configurations that were written.
     configuration_version: Rc<RefCell<u64>>,
     random: Rc<RefCell<SmallRng>>,
@@ -103,6 +115,8 @@
             store,
             checker,
             balancer_count,
+            store_copies: Rc::default(),
+            configuration: Rc::default(),
             configuration_version: Rc::new(RefCell::new(0)),
             random: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))),
         }
@@ -120,6 +134,19 @@
         }
     }
 
+    /// Copies the store periodically, until the task is aborted.
+    pub async fn copy_store(self) {
+        loop {
+            let now = Instant::now();
+            {
+                let mut copies = self.store_copies.borrow_mut();
+                copies.retain(|(copied_at, _)| now.duration_since(*copied_at) < MAX_COPY_AGE);
+                copies.push((now, self.store.copy_state()));
+            }
+            sleep(COPY_INTERVAL).await;
+        }
+    }
+
     /// Reads the versions of the routes from the metrics of the processes and checks them,
     /// until the task is aborted.
     pub async fn check_versions(self) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,6 +12,13 @@
 /// Time without events at the end of a run, in which the system must recover.
 pub const EVENT_FREE_PERIOD: Duration = Duration::from_secs(9);
 
+/// Mean time between two returns of the store from a copy.
+const RESTORE_INTERVAL: Duration = Duration::from_secs(12);
+
+/// Number by which the seed of the returns of the store differs from that of the plan, so
+/// that they leave the other events of a seed as they are.
+const RESTORE_SEED: u64 = 0xc0b1;
+
 /// Number of processes for each balancer, including the balancer itself. A run has at
 /// least two balancers.
 const PROCESSES_PER_BALANCER: u16 = 3;
@@ -60,6 +67,9 @@
     StoreLosesResponses,
     /// Compacts the history of the store.
     CompactStore,
+    /// Takes the store down and brings it back from a copy of this age, with this number of
+    /// changes by others since.
+    RestoreStore(Duration, u8),
     /// Writes the next configuration.
     WriteConfiguration,
 }
@@ -122,6 +132,8 @@
             });
             at += Duration::from_millis(random.random_range(50..=max_gap_millis));
         }
+        events.extend(choose_restores(seed, end));
+        events.sort_by_key(|timed| timed.at);
         Self {
             seed,
             balancer_count,
@@ -133,6 +145,24 @@
     }
 }
 
+/// Returns the events that bring the store back from a copy, at least one.
+fn choose_restores(seed: u64, end: Duration) -> Vec<TimedEvent> {
+    let mut random = SmallRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let period = end.saturating_sub(WARM_UP_TIME);
+    let count = 1 + period.as_millis() / RESTORE_INTERVAL.as_millis();
+    (0..count)
+        .map(|_| {
+            let age_millis = random.random_range(500..=6_000u64);
+            let change_count = random.random_range(0..=30u8);
+            TimedEvent {
+                at: WARM_UP_TIME + period.mul_f64(random.random_range(0.0..1.0)),
+                duration: Duration::from_millis(random.random_range(200..=2_000u64)),
+                event: SoakEvent::RestoreStore(Duration::from_millis(age_millis), change_count),
+            }
+        })
+        .collect()
+}
+
 fn choose_event(random: &mut SmallRng, balancer_count: usize, host_count: usize) -> SoakEvent {
     let process = random.random_range(0..balancer_count + host_count);
     let balancer = random.random_range(0..balancer_count);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -123,6 +123,7 @@
     let background_tasks = [
         spawn_local(fleet.clone().supervise()),
         spawn_local(fleet.clone().check_versions()),
+        spawn_local(fleet.clone().copy_store()),
     ];
     for timed_event in &plan.events {
         sleep_until((started_at + timed_event.at).into()).await;
@@ -133,6 +134,10 @@
     checker.borrow_mut().is_final_check = true;
     sleep_until((started_at + plan.run_time).into()).await;
     checker.borrow_mut().check_final_requests(Instant::now());
+    let newest_version = fleet.newest_version();
+    checker
+        .borrow_mut()
+        .check_final_versions(Instant::now(), newest_version);
     for task in background_tasks {
         task.abort();
     }
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -115,3 +115,13 @@
     checker.check_drain(at(9_100), at(6_000), HOST);
     assert_eq!(checker.findings.len(), 1);
 }
+
+#[test]
+fn process_that_does_not_use_the_newest_version_at_the_end_is_reported() {
+    let (mut checker, at) = checker();
+    checker.check_version(at(1_000), BALANCER, 1, 6);
+    checker.check_version(at(1_000), HOST, 1, 9);
+    checker.check_final_versions(at(9_000), 9);
+    expect![[r#"9000 ms: version 9 is not in force: ["127.0.1.1 has version 6"]"#]]
+        .assert_eq(&checker.findings.join("\n"));
+}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -71,6 +71,7 @@
         5863 ms CrashServer(1)
         6734 ms StoreLosesResponses
         8587 ms ReplaceServer(1)
+        9747 ms RestoreStore(4.862s, 11)
         9957 ms Stop(2)
         10091 ms Kill(3)
         10699 ms WriteConfiguration
