Write a change only over the configuration that it was merged with

Operators would have seen: a change that another operator's command had confirmed is gone without notice, after the store has come back from a copy.

A write of 'apply' or 'drain' whose answer was lost is sent again while the configuration has the revision that it expects. After a restore that revision may be given to another operator's change, which the write then replaced; reads at a lower revision counted as stale until the deadline.

Change: a write is conditional on the value as well as on the revision; the position of a read is the era (header Store-Era) and the revision; where a write that was given up could still take effect since the store came back, the outcome says so. Slots of entry addresses use the same condition.

--- a/crates/hyssopstair/src/commands/diff.rs
+++ b/crates/hyssopstair/src/commands/diff.rs
@@ -39,7 +39,7 @@
     parse_rules(&args.file, &edited)?;
     let stored = block_on(read_configuration(&args.platform))??;
     let (version, old) = match stored {
-        Some(stored) => (stored.record.version, stored.record.text),
+        Some(record) => (record.version, record.text),
         None => (0, String::new()),
     };
     let lines = diff_text(&old, &edited.text);
--- a/crates/hyssopstair/src/commands/show.rs
+++ b/crates/hyssopstair/src/commands/show.rs
@@ -31,7 +31,7 @@
 pub fn exec(args: &ShowArgs, shell: &mut ConsoleShell) -> Result<(), Report<CommandError>> {
     let record = match args.version {
         Some(version) => Some(block_on(read_version(&args.platform, version))??),
-        None => block_on(read_configuration(&args.platform))??.map(|stored| stored.record),
+        None => block_on(read_configuration(&args.platform))??,
     };
     match record {
         Some(record) => {
--- a/crates/hyssopstair/src/ops/apply.rs
+++ b/crates/hyssopstair/src/ops/apply.rs
@@ -82,14 +82,14 @@
 ) -> Result<String, Report<CommandError>> {
     match read_configuration(platform_urls).await? {
         None => Ok(String::new()),
-        Some(stored) if normalize_line_breaks(&stored.record.text) == text => Ok(text.to_owned()),
-        Some(stored) => Err(Report::new(CommandError::new(
+        Some(record) if normalize_line_breaks(&record.text) == text => Ok(text.to_owned()),
+        Some(record) => Err(Report::new(CommandError::new(
             FailureKind::InvalidInput,
             format!(
                 "nothing was written: the file does not name the version it was edited from; \
                  edit the output of \"hyssopstair show\", now version {}, or pass \
                  --base VERSION",
-                stored.record.version
+                record.version
             ),
         ))),
     }
--- a/crates/hyssopstair/src/ops/change.rs
+++ b/crates/hyssopstair/src/ops/change.rs
@@ -16,6 +16,7 @@
 use hyssopstair_platform::change::StoredRecord;
 use hyssopstair_platform::client::KeyWrite;
 use hyssopstair_platform::client::PlatformClient;
+use hyssopstair_platform::client::StoredValue;
 use hyssopstair_platform::record::CONFIGURATION_KEY;
 use hyssopstair_platform::record::ChangeId;
 use hyssopstair_platform::record::ConfigurationRecord;
@@ -117,8 +118,8 @@
                 tokio::time::sleep(delay).await;
                 execute_read(client).await?
             }
-            ChangeStep::Write { revision, record } => {
-                execute_write(client, revision, &record).await?
+            ChangeStep::Write { expected, record } => {
+                execute_write(client, expected.as_ref(), &record).await?
             }
             ChangeStep::Done(outcome) => return Ok(outcome),
         };
@@ -127,19 +128,22 @@
 }
 
 async fn execute_read(client: &PlatformClient) -> Result<ChangeEvent, Report<CommandError>> {
-    let Ok(stored) = client.get(CONFIGURATION_KEY).await else {
+    let Ok((stored, era)) = client.get_with_era(CONFIGURATION_KEY).await else {
         return Ok(ChangeEvent::ReadFailed);
     };
-    let found = decode_record(stored)?;
-    Ok(ChangeEvent::Read(found.unwrap_or(StoredRecord {
-        record: ConfigurationRecord::empty(),
-        revision: 0,
-    })))
+    Ok(ChangeEvent::Read(match stored {
+        Some(stored) => StoredRecord {
+            record: decode_record(&stored)?,
+            stored: Some(stored),
+            era,
+        },
+        None => StoredRecord::empty(era),
+    }))
 }
 
 async fn execute_write(
     client: &PlatformClient,
-    revision: u64,
+    expected: Option<&StoredValue>,
     record: &ConfigurationRecord,
 ) -> Result<ChangeEvent, Report<CommandError>> {
     let value = encode_record(record)?;
@@ -160,7 +164,7 @@
         },
     ];
     let written = client
-        .write_if_unchanged(CONFIGURATION_KEY, revision, &writes)
+        .write_if_unchanged(CONFIGURATION_KEY, expected, &writes)
         .await;
     Ok(match written {
         Ok(true) => ChangeEvent::Written,
--- a/crates/hyssopstair/src/ops/record.rs
+++ b/crates/hyssopstair/src/ops/record.rs
@@ -4,7 +4,6 @@
 
 use error_stack::Report;
 use error_stack::ResultExt;
-use hyssopstair_platform::change::StoredRecord;
 use hyssopstair_platform::client::PlatformClient;
 use hyssopstair_platform::client::StoredValue;
 use hyssopstair_platform::record::CONFIGURATION_KEY;
@@ -22,12 +21,12 @@
 /// Returns an error if the platform does not answer or the stored value is invalid.
 pub async fn read_configuration(
     platform_urls: &[String],
-) -> Result<Option<StoredRecord>, Report<CommandError>> {
+) -> Result<Option<ConfigurationRecord>, Report<CommandError>> {
     let stored = PlatformClient::new(platform_urls)
         .get(CONFIGURATION_KEY)
         .await
         .change_context_lazy(read_failure)?;
-    decode_record(stored)
+    stored.as_ref().map(decode_record).transpose()
 }
 
 /// Returns a version of the configuration.
@@ -43,8 +42,8 @@
         .get(&history_key(version))
         .await
         .change_context_lazy(read_failure)?;
-    match decode_record(stored)? {
-        Some(found) if found.record.version == version => Ok(found.record),
+    match stored.as_ref().map(decode_record).transpose()? {
+        Some(record) if record.version == version => Ok(record),
         _ => Err(Report::new(CommandError::new(
             FailureKind::InvalidInput,
             format!(
@@ -69,34 +68,24 @@
         .change_context_lazy(read_failure)?;
     let mut records = Vec::new();
     for item in stored {
-        records.extend(decode_record(Some(item.stored))?.map(|found| found.record));
+        records.push(decode_record(&item.stored)?);
     }
     records.sort_by_key(|record| Reverse(record.version));
     Ok(records)
 }
 
-/// Decodes the value of a key that holds a configuration; `None` if the key does not
-/// exist.
+/// Decodes the value of a key that holds a configuration.
 ///
 /// # Errors
 ///
 /// Returns an error if the value is not a configuration record.
-pub fn decode_record(
-    stored: Option<StoredValue>,
-) -> Result<Option<StoredRecord>, Report<CommandError>> {
-    let Some(stored) = stored else {
-        return Ok(None);
-    };
-    let record = ConfigurationRecord::decode(&stored.value).change_context_lazy(|| {
+pub fn decode_record(stored: &StoredValue) -> Result<ConfigurationRecord, Report<CommandError>> {
+    ConfigurationRecord::decode(&stored.value).change_context_lazy(|| {
         CommandError::new(
             FailureKind::Unavailable,
             "the value that the platform stores is not a configuration",
         )
-    })?;
-    Ok(Some(StoredRecord {
-        record,
-        revision: stored.revision,
-    }))
+    })
 }
 
 fn read_failure() -> CommandError {
--- a/crates/hyssopstaird/src/control/entries.rs
+++ b/crates/hyssopstaird/src/control/entries.rs
@@ -58,10 +58,10 @@
     if slot_entry.is_some_and(|entry| is_holder_alive(node, entry)) {
         return Ok(());
     }
-    let revision = slot_entry.map_or(0, |entry| entry.stored.revision);
+    let expected = slot_entry.map(|entry| &entry.stored);
     let value = node.process_id().address.to_string();
     client
-        .compare_and_swap(&key, revision, value.as_bytes())
+        .compare_and_swap(&key, expected, value.as_bytes())
         .await?;
     Ok(())
 }
--- a/crates/platform/src/change.rs
+++ b/crates/platform/src/change.rs
@@ -3,17 +3,18 @@
 //! [`ChangeState`] returns the next step and receives its result as an event. It does
 //! no input or output and reads no clock; the command line program executes the steps.
 //!
-//! Each write is conditional on the revision of the stored configuration, so at most
-//! one of several concurrent writes succeeds. A missing answer does not tell whether
+//! Each write is conditional on the revision and the value of the stored configuration, so
+//! at most one of several concurrent writes succeeds, also if the store has come back from
+//! a copy in between and has given out the revision again. A missing answer does not tell whether
 //! the write took effect, and a rejection may be the result of a second attempt after
 //! a first one that succeeded. In both cases the configuration is read again, because
 //! each record lists its latest changes:
 //!
 //! - If it lists the change, the change is written.
-//! - If the revision is still the one that the write expected, the write may be
+//! - If the configuration is still the one that the write expected, the write may be
 //!   delayed and still take effect, so exactly the same write is sent again.
-//! - If the revision is higher, the write can no longer take effect, and the change is
-//!   merged into the new configuration.
+//! - If it is another one, the write can no longer take effect, and the change is merged
+//!   into the new configuration.
 //! - If so many other changes followed that the record no longer lists changes of that
 //!   age, the outcome remains unknown.
 
@@ -29,6 +30,7 @@
 use hyssopstair_rules::rule_set::RuleSet;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::client::StoredValue;
 use crate::record::ChangeId;
 use crate::record::ConfigurationRecord;
 
@@ -67,8 +69,28 @@
 pub struct StoredRecord {
     /// The configuration; empty if the platform has none.
     pub record: ConfigurationRecord,
-    /// The store revision at which it was last modified; 0 if the platform has none.
-    pub revision: u64,
+    /// The configuration as it is stored; `None` if the platform has none.
+    pub stored: Option<StoredValue>,
+    /// The era of the store; 0 if it names none.
+    pub era: u64,
+}
+
+impl StoredRecord {
+    /// Returns the state of a platform that has no configuration.
+    pub fn empty(era: u64) -> Self {
+        Self {
+            record: ConfigurationRecord::empty(),
+            stored: None,
+            era,
+        }
+    }
+
+    /// Returns the position of the configuration in the history of the store: its era and
+    /// the revision of the last change, 0 if there is none.
+    fn position(&self) -> (u64, u64) {
+        let revision = self.stored.as_ref().map_or(0, |stored| stored.revision);
+        (self.era, revision)
+    }
 }
 
 /// The result of a step.
@@ -94,10 +116,10 @@
         /// The delay.
         delay: Duration,
     },
-    /// Write a record if the configuration still has the expected revision.
+    /// Write a record if the configuration is still the expected one.
     Write {
-        /// The expected revision.
-        revision: u64,
+        /// The expected configuration; `None` if there must be none.
+        expected: Option<StoredValue>,
         /// The record to write.
         record: ConfigurationRecord,
     },
@@ -148,7 +170,9 @@
 /// A write with an unknown result.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct PendingWrite {
-    revision: u64,
+    /// The era of the store in which it was first sent.
+    era: u64,
+    expected: Option<StoredValue>,
     record: ConfigurationRecord,
 }
 
@@ -160,9 +184,13 @@
     highest_known_version: u64,
     deadline: MonotonicTime,
     backoff: Duration,
-    /// The revision of the latest read. A read that returns a lower one is stale.
-    latest_revision: u64,
+    /// The position of the latest read. A read that returns a lower one is stale.
+    latest_position: (u64, u64),
     pending: Option<PendingWrite>,
+    /// The era and the version of the latest write that was given up because the
+    /// configuration is another one. If the store comes back from a copy, the one that the
+    /// write expects may exist again.
+    given_up: Option<(u64, u64)>,
 }
 
 impl ChangeState {
@@ -181,8 +209,9 @@
             highest_known_version,
             deadline,
             backoff: MIN_BACKOFF,
-            latest_revision: 0,
+            latest_position: (0, 0),
             pending: None,
+            given_up: None,
         }
     }
 
@@ -197,7 +226,7 @@
     /// later, the change ends instead.
     pub fn handle_event(&mut self, event: ChangeEvent, now: MonotonicTime) -> ChangeStep {
         match event {
-            ChangeEvent::Read(stored) if stored.revision < self.latest_revision => {
+            ChangeEvent::Read(stored) if stored.position() < self.latest_position => {
                 self.read_after_backoff(now)
             }
             ChangeEvent::Read(stored) => self.handle_record(&stored, now),
@@ -239,34 +268,45 @@
     /// Ends the change at its deadline. A write with an unknown result may have taken
     /// effect, or may still do so.
     fn time_out(&self) -> ChangeStep {
-        ChangeStep::Done(match &self.pending {
-            Some(write) => ChangeOutcome::MayBeWritten {
+        match &self.pending {
+            Some(write) => ChangeStep::Done(ChangeOutcome::MayBeWritten {
                 version: write.record.version,
-            },
-            None => ChangeOutcome::NotWritten,
+            }),
+            None => self.end_unwritten(ChangeOutcome::NotWritten),
+        }
+    }
+
+    /// Ends the change with an outcome by which nothing was written, unless a write that was
+    /// given up may still take effect, since the store has come back from a copy.
+    fn end_unwritten(&self, outcome: ChangeOutcome) -> ChangeStep {
+        let (latest_era, _) = self.latest_position;
+        ChangeStep::Done(match self.given_up {
+            Some((era, version)) if era < latest_era => ChangeOutcome::MayBeWritten { version },
+            _ => outcome,
         })
     }
 
     /// Returns the step that follows from the current configuration.
     fn handle_record(&mut self, stored: &StoredRecord, now: MonotonicTime) -> ChangeStep {
         self.backoff = MIN_BACKOFF;
-        self.latest_revision = stored.revision;
+        self.latest_position = stored.position();
         if let Some(version) = stored.record.find_change_version(self.id) {
             return ChangeStep::Done(ChangeOutcome::Written { version });
         }
         if let Some(write) = &self.pending {
             let version = write.record.version;
-            if write.revision == stored.revision {
+            if write.expected == stored.stored {
                 return self.send_write(write.clone(), now);
             }
             if !stored.record.covers_version(version) {
                 return ChangeStep::Done(ChangeOutcome::MayBeWritten { version });
             }
+            self.given_up = Some((write.era, version));
             self.pending = None;
         }
         match self.build_text(stored) {
             Ok(text) => self.write_text(stored, text, now),
-            Err(outcome) => ChangeStep::Done(outcome),
+            Err(outcome) => self.end_unwritten(outcome),
         }
     }
 
@@ -302,7 +342,8 @@
     ) -> ChangeStep {
         let version = stored.record.version.max(self.highest_known_version) + 1;
         let write = PendingWrite {
-            revision: stored.revision,
+            era: stored.era,
+            expected: stored.stored.clone(),
             record: stored.record.with_change(self.id, version, text),
         };
         self.send_write(write, now)
@@ -314,7 +355,7 @@
         }
         self.pending = Some(write.clone());
         ChangeStep::Write {
-            revision: write.revision,
+            expected: write.expected,
             record: write.record,
         }
     }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -9,6 +9,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::protocol::Compare;
+use crate::protocol::ERA_HEADER;
 use crate::protocol::KeyValue;
 use crate::protocol::PutRequest;
 use crate::protocol::RangeRequest;
@@ -106,12 +107,26 @@
     ///
     /// Returns an error if no URL answers.
     pub async fn get(&self, key: &str) -> Result<Option<StoredValue>, PlatformError> {
+        let (stored, _) = self.get_with_era(key).await?;
+        Ok(stored)
+    }
+
+    /// Reads a key, which may not exist, and the era of the store; 0 if it names none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no URL answers.
+    pub async fn get_with_era(
+        &self,
+        key: &str,
+    ) -> Result<(Option<StoredValue>, u64), PlatformError> {
         let request = RangeRequest {
             key: encode_bytes(key.as_bytes()),
             range_end: None,
         };
-        let response: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
-        Ok(response.kvs.first().map(to_stored_value))
+        let (response, era): (RangeResponse, u64) =
+            self.call(CallKind::Read, "/v3/kv/range", &request).await?;
+        Ok((response.kvs.first().map(to_stored_value), era))
     }
 
     /// Reads all keys that start with `prefix`, in key order.
@@ -124,14 +139,12 @@
             key: encode_bytes(prefix.as_bytes()),
             range_end: Some(encode_bytes(&prefix_end(prefix))),
         };
-        let response: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
+        let (response, _): (RangeResponse, u64) =
+            self.call(CallKind::Read, "/v3/kv/range", &request).await?;
         Ok(response.kvs.iter().map(to_stored_entry).collect())
     }
 
-    /// Writes a key if it was last modified at `revision`, and returns whether it was
-    /// written. Revision 0 stands for a key that does not exist.
-    ///
-    /// A result of `false` does not prove that nothing was written; see
+    /// Writes a key if it is still as it was read, and returns whether it was written. See
     /// [`write_if_unchanged`](Self::write_if_unchanged).
     ///
     /// # Errors
@@ -140,16 +153,17 @@
     pub async fn compare_and_swap(
         &self,
         key: &str,
-        revision: u64,
+        expected: Option<&StoredValue>,
         value: &[u8],
     ) -> Result<bool, PlatformError> {
         let write = KeyWrite { key, value };
-        self.write_if_unchanged(key, revision, &[write]).await
+        self.write_if_unchanged(key, expected, &[write]).await
     }
 
-    /// Executes all `writes` atomically if `key` was last modified at `revision`, and
-    /// returns whether they were executed. Revision 0 stands for a key that does not
-    /// exist.
+    /// Executes all `writes` atomically if `key` is still as it was read, with the same
+    /// revision and value, or still does not exist. Returns whether they were executed.
+    /// The revision alone does not tell: a store that has come back from a copy gives it
+    /// out again.
     ///
     /// If a URL does not answer, the transaction is sent to the next one. A result of
     /// `false` therefore does not prove that nothing was written: an earlier attempt may
@@ -161,30 +175,27 @@
     pub async fn write_if_unchanged(
         &self,
         key: &str,
-        revision: u64,
+        expected: Option<&StoredValue>,
         writes: &[KeyWrite<'_>],
     ) -> Result<bool, PlatformError> {
         let request = TxnRequest {
-            compare: vec![Compare {
-                key: encode_bytes(key.as_bytes()),
-                target: "MOD".to_owned(),
-                result: "EQUAL".to_owned(),
-                mod_revision: revision.to_string(),
-            }],
+            compare: build_conditions(key, expected),
             success: writes.iter().map(to_put_operation).collect(),
             failure: Vec::new(),
         };
-        let response: TxnResponse = self.call(CallKind::Write, "/v3/kv/txn", &request).await?;
+        let (response, _): (TxnResponse, u64) =
+            self.call(CallKind::Write, "/v3/kv/txn", &request).await?;
         Ok(response.succeeded)
     }
 
-    /// Sends a request to each URL in turn until one answers.
+    /// Sends a request to each URL in turn until one answers. Returns the response and the
+    /// era of the store.
     async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
         kind: CallKind,
         path: &str,
         request: &Q,
-    ) -> Result<A, PlatformError> {
+    ) -> Result<(A, u64), PlatformError> {
         let mut last_error = PlatformError::NoAnswer {
             url: String::new(),
             reason: "no URL is configured".to_owned(),
@@ -207,25 +218,45 @@
         Err(last_error)
     }
 
-    /// Sends a request to one URL and decodes the response.
+    /// Sends a request to one URL, and decodes the response and its era.
     async fn call_url<Q: Serialize, A: DeserializeOwned>(
         &self,
         url: &str,
         path: &str,
         request: &Q,
-    ) -> Result<A, reqwest::Error> {
+    ) -> Result<(A, u64), reqwest::Error> {
         COUNTERS.platform_calls.increment();
-        self.http
-            .post(format!("{url}{path}"))
-            .json(request)
-            .send()
-            .await?
-            .error_for_status()?
-            .json()
-            .await
+        let request = self.http.post(format!("{url}{path}")).json(request);
+        let response = request.send().await?.error_for_status()?;
+        let era = response
+            .headers()
+            .get(ERA_HEADER)
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0);
+        Ok((response.json().await?, era))
     }
 }
 
+/// Returns the conditions that hold while a key is as it was read.
+fn build_conditions(key: &str, expected: Option<&StoredValue>) -> Vec<Compare> {
+    let revision = expected.map_or(0, |stored| stored.revision);
+    let mut conditions = vec![Compare {
+        key: encode_bytes(key.as_bytes()),
+        target: "MOD".to_owned(),
+        result: "EQUAL".to_owned(),
+        mod_revision: revision.to_string(),
+        value: None,
+    }];
+    conditions.extend(expected.map(|stored| Compare {
+        key: encode_bytes(key.as_bytes()),
+        target: "VALUE".to_owned(),
+        result: "EQUAL".to_owned(),
+        mod_revision: String::new(),
+        value: Some(encode_bytes(&stored.value)),
+    }));
+    conditions
+}
+
 fn to_put_operation(write: &KeyWrite<'_>) -> RequestOp {
     RequestOp {
         request_put: Some(PutRequest {
--- a/crates/platform/src/protocol.rs
+++ b/crates/platform/src/protocol.rs
@@ -9,6 +9,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Header of a response that names the era of the store: a number that rises each time that
+/// the store comes back from a copy, and gives out revisions again.
+pub const ERA_HEADER: &str = "store-era";
+
 /// Encodes a key or a value.
 pub fn encode_bytes(bytes: &[u8]) -> String {
     BASE64_STANDARD.encode(bytes)
@@ -81,12 +85,16 @@
 pub struct Compare {
     /// The key.
     pub key: String,
-    /// The compared property; `MOD` for the revision of the last modification.
+    /// The compared property: `MOD` for the revision of the last modification, or `VALUE`.
     pub target: String,
     /// The comparison operator; `EQUAL`.
     pub result: String,
-    /// The expected revision; 0 for a key that does not exist.
+    /// The expected revision, with `MOD`; 0 for a key that does not exist.
+    #[serde(skip_serializing_if = "String::is_empty")]
     pub mod_revision: String,
+    /// The expected value, with `VALUE`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
 }
 
 /// An operation of a transaction. One of the fields is set.
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -102,11 +102,19 @@
 
     /// Returns whether the condition of a transaction is met.
     fn is_met(&self, compare: &Compare) -> bool {
-        let revision = match self.find_item(&decode_bytes(&compare.key)) {
-            Ok(index) => self.items[index].revision,
-            Err(_) => 0,
-        };
-        compare.target == "MOD" && compare.mod_revision == revision.to_string()
+        let found = self.find_item(&decode_bytes(&compare.key)).ok();
+        let item = found.map(|index| &self.items[index]);
+        match compare.target.as_str() {
+            "MOD" => {
+                let revision = item.map_or(0, |item| item.revision);
+                compare.mod_revision == revision.to_string()
+            }
+            "VALUE" => match (item, &compare.value) {
+                (Some(item), Some(expected)) => item.value == decode_bytes(expected),
+                _ => false,
+            },
+            _ => false,
+        }
     }
 
     fn put_item(&mut self, request: &PutRequest) {
