Take only the configuration's own key from a watch

Callers would have seen: a configuration that nobody confirmed in force, or none in time.

Cause: a watch has a prefix, and the last event was taken for the configuration whatever its key. The users' operators write no such key today; found on the way, while looking for what could put 'an invalid one' in force.

Evidence: with a draft under op/config-draft, version 9 of the draft was in force instead of 6; the test failed before and passes.

--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -385,7 +385,11 @@
             era: response.era,
             revision: items.store_revision,
         };
-        let newest_item = items.items.into_iter().next_back();
+        // The prefix of a watch also matches keys that are longer.
+        let newest_item = items
+            .items
+            .into_iter()
+            .rfind(|item| item.key == store::CONFIGURATION_KEY);
         let has_changed = newest_item.is_some();
         if let Some(item) = newest_item {
             self.apply_configuration(item, ConfigurationSource::Watch, position)
