--- a/crates/hyssopstaird/src/carry/mod.rs
+++ b/crates/hyssopstaird/src/carry/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod checks;
 pub mod command;
+pub mod configuration_watch;
 pub mod http;
 pub mod journal;
 pub mod metrics;
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -1,41 +1,33 @@
 //! Background tasks that use the platform's store.
 //!
-//! Balancers watch the configuration and register themselves. Hosts read from the
-//! store only what they have not received from a peer.
+//! Balancers watch the configuration (see
+//! [`configuration_watch`](crate::carry::configuration_watch)), register themselves and save
+//! the open flows of hosts. Hosts read from the store only what they have not received from
+//! a peer.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use http::StatusCode;
-use hyssopstair_adapter::configuration::decode_configuration;
 use hyssopstair_adapter::store;
 use hyssopstair_adapter::store::StoreItem;
 use hyssopstair_flows::balancer::SaveRequest;
 use hyssopstair_flows::saved_flows::SavedFlowList;
 use hyssopstair_flows::saved_flows::combine_parts;
-use hyssopstair_flows::store_position::HistoryVerdict;
-use hyssopstair_flows::store_position::StorePosition;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::carry::command::CarryCommand;
-use crate::carry::command::ConfigurationObservation;
-use crate::carry::command::ConfigurationSource;
 use crate::carry::command::ProcessStatus;
 use crate::carry::store::StoreConnection;
 use crate::carry::store::StoreError;
 use crate::carry::store_eras::StoreEras;
 use crate::carry::store_lease::StoreLease;
 
-/// Delay between a change and the next watch, so that a burst of changes costs few
-/// calls. A change has to be in force within three seconds.
-const WATCH_DELAY: Duration = Duration::from_millis(250);
-
 /// Delay after a failed call; outages of the store last seconds.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Time to live of a balancer's registration that is not renewed.
 const REGISTRATION_TTL: Duration = Duration::from_secs(30);
@@ -75,111 +67,10 @@
 }
 
 impl StoreTask {
-    fn connect(&self) -> StoreConnection {
+    pub(super) fn connect(&self) -> StoreConnection {
         StoreConnection::new(self.store_address, self.eras.clone())
     }
 
-    /// Keeps a balancer's routes up to date with the configuration in the store.
-    pub async fn watch_configuration(self) {
-        let mut connection = self.connect();
-        let mut known_position: Option<StorePosition> = None;
-        let mut is_store_lost = false;
-        let mut is_first_watch = true;
-        loop {
-            let step = async {
-                match known_position {
-                    None => {
-                        let position = self.read_configuration(&mut connection).await?;
-                        Ok((position, true))
-                    }
-                    Some(position) => {
-                        let timeout = self.status.watch_schedule().next_timeout(is_first_watch);
-                        self.wait_for_change(&mut connection, position, timeout)
-                            .await
-                    }
-                }
-            };
-            let result = match known_position {
-                None => step.await,
-                Some(known) => tokio::select! {
-                    biased;
-                    result = step => result,
-                    // The watch may wait for long at a revision of the former history.
-                    () = self.eras.wait_for_newer(known.era) => Err(StoreError::Restored),
-                },
-            };
-            let result = result.and_then(|(position, has_changed)| {
-                let position = self.check_position(known_position, position)?;
-                Ok((position, has_changed))
-            });
-            match result {
-                Ok((position, has_changed)) => {
-                    if is_store_lost {
-                        self.report_store_status(None).await;
-                    }
-                    is_store_lost = false;
-                    is_first_watch = has_changed;
-                    if has_changed && known_position.is_some() {
-                        sleep(WATCH_DELAY).await;
-                    }
-                    known_position = Some(position);
-                }
-                Err(StoreError::Restored) => {
-                    self.report_lost_position(&mut known_position, &StoreError::Restored)
-                        .await;
-                }
-                // The store's history no longer contains the known revision.
-                Err(error @ StoreError::Rejected(StatusCode::GONE)) => {
-                    self.report_lost_position(&mut known_position, &error).await;
-                    sleep(WATCH_DELAY).await;
-                }
-                Err(StoreError::Rejected(StatusCode::NOT_FOUND)) => {
-                    // The operators have not written a configuration yet.
-                    sleep(RETRY_DELAY).await;
-                }
-                Err(error) => {
-                    if !is_store_lost {
-                        self.report_store_status(Some(error.to_string())).await;
-                    }
-                    is_store_lost = true;
-                    // The store may come back from a copy, in which the known revision means
-                    // another change.
-                    self.report_lost_position(&mut known_position, &error).await;
-                    sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Returns the position of a response, unless changes may be missing between the known
-    /// position and this one.
-    fn check_position(
-        &self,
-        known: Option<StorePosition>,
-        position: StorePosition,
-    ) -> Result<StorePosition, StoreError> {
-        if position.era < self.eras.newest() {
-            return Err(StoreError::Restored);
-        }
-        match known.map(|known| known.judge_response(position)) {
-            None | Some(HistoryVerdict::Continued) => Ok(position),
-            Some(HistoryVerdict::Restored | HistoryVerdict::Outdated) => Err(StoreError::Restored),
-        }
-    }
-
-    /// Gives up the known position, so that the configuration is read again.
-    async fn report_lost_position(
-        &self,
-        known_position: &mut Option<StorePosition>,
-        error: &StoreError,
-    ) {
-        if let Some(position) = known_position.take() {
-            let reason = error.to_string();
-            self.report_configuration(ConfigurationObservation::PositionLost { position, reason })
-                .await;
-        }
-    }
-
     /// Keeps a balancer registered in the store, and discovers the other balancers
     /// whenever it registers anew.
     pub async fn maintain_registration(self) {
@@ -350,99 +241,8 @@
         Ok(())
     }
 
-    /// Reads the configuration and applies it. Returns the position of the store, at
-    /// which the next watch starts.
-    async fn read_configuration(
-        &self,
-        connection: &mut StoreConnection,
-    ) -> Result<StorePosition, StoreError> {
-        let response = connection
-            .call(store::get_key(store::CONFIGURATION_KEY), Duration::ZERO)
-            .await?;
-        let (item, store_revision) = store::decode_item(&response.body)?;
-        // The store's history may no longer contain the item's own revision.
-        let position = StorePosition {
-            era: response.era,
-            revision: store_revision,
-        };
-        self.apply_configuration(item, ConfigurationSource::Read, position)
-            .await;
-        Ok(position)
-    }
-
-    /// Waits for a change after a position, and applies the newest configuration.
-    /// Returns the position at which the next watch starts, and whether there was a change.
-    async fn wait_for_change(
-        &self,
-        connection: &mut StoreConnection,
-        known: StorePosition,
-        timeout: Duration,
-    ) -> Result<(StorePosition, bool), StoreError> {
-        let request = store::watch_prefix(store::CONFIGURATION_KEY, known.revision, timeout);
-        let response = connection.call(request, timeout).await?;
-        let items = store::decode_items(&response.body)?;
-        let position = StorePosition {
-            era: response.era,
-            revision: items.store_revision,
-        };
-        // The prefix of a watch also matches keys that are longer.
-        let newest_item = items
-            .items
-            .into_iter()
-            .rfind(|item| item.key == store::CONFIGURATION_KEY);
-        let has_changed = newest_item.is_some();
-        if let Some(item) = newest_item {
-            self.apply_configuration(item, ConfigurationSource::Watch, position)
-                .await;
-        }
-        Ok((position, has_changed))
-    }
-
-    async fn apply_configuration(
-        &self,
-        item: StoreItem,
-        source: ConfigurationSource,
-        position: StorePosition,
-    ) {
-        let Some(value) = item.value else {
-            return;
-        };
-        match decode_configuration(&value) {
-            Ok((routes, skipped_route_count)) => {
-                self.report_configuration(ConfigurationObservation::Received {
-                    source,
-                    version: routes.version(),
-                    revision: item.revision,
-                    position,
-                })
-                .await;
-                if skipped_route_count > 0 {
-                    let error =
-                        format!("failed to decode {skipped_route_count} routes; skipped them");
-                    self.report_store_status(Some(error)).await;
-                }
-                self.send_command(CarryCommand::SetRoutes(routes)).await;
-            }
-            Err(error) => self.report_store_status(Some(error.to_string())).await,
-        }
-    }
-
-    async fn report_configuration(&self, observation: ConfigurationObservation) {
-        self.send_command(CarryCommand::ConfigurationObserved(observation))
-            .await;
-    }
-
-    /// Reports an error of the store or of the configuration in it; `None` reports
-    /// that the store is available again.
-    async fn report_store_status(&self, error: Option<String>) {
-        self.send_command(CarryCommand::DependencyChanged {
-            name: "store",
-            error,
-        })
-        .await;
-    }
-
-    async fn send_command(&self, command: CarryCommand) {
+    /// Sends a command to the event loop.
+    pub(super) async fn send_command(&self, command: CarryCommand) {
         // Sending fails only when the event loop has ended, and with it the process.
         let _ = self.command_sender.send(command).await;
     }
