--- a/crates/hyssopstair/src/ops/change.rs
+++ b/crates/hyssopstair/src/ops/change.rs
@@ -29,6 +29,7 @@
 use crate::error::FailureKind;
 use crate::ops::change_report::describe_outcome;
 use crate::ops::confirm::ConfirmationPlan;
+use crate::ops::daemon::DaemonClient;
 use crate::ops::record::decode_record;
 
 /// Where a change is written and which daemons must confirm it.
@@ -70,7 +71,7 @@
     let confirmation =
         ConfirmationPlan::resolve(&plan.confirm_daemons, &plan.source_daemons).await?;
     let client = PlatformClient::new(&plan.platform_urls);
-    let outcome = write_change(&client, intent, confirmation.highest_version, plan.timeout).await?;
+    let outcome = write_change(&client, plan, intent, confirmation.highest_version).await?;
     let (version, unchanged) = match outcome {
         ChangeOutcome::Written { version } => (version, false),
         ChangeOutcome::Unchanged { version } => (version, true),
@@ -103,14 +104,14 @@
 /// the platform has lost its configuration.
 async fn write_change(
     client: &PlatformClient,
+    plan: &ChangePlan,
     intent: ChangeIntent,
     highest_version: u64,
-    timeout: Duration,
 ) -> Result<ChangeOutcome, Report<CommandError>> {
     let origin = Instant::now();
     let now = || MonotonicTime(origin.elapsed().as_micros() as u64);
     let id = ChangeId(rand::random());
-    let mut change = ChangeState::new(id, intent, highest_version, now() + timeout);
+    let mut change = ChangeState::new(id, intent, highest_version, now() + plan.timeout);
     let mut step = change.first_step();
     loop {
         let event = match step {
@@ -121,6 +122,9 @@
             ChangeStep::Write { expected, record } => {
                 execute_write(client, expected.as_ref(), &record).await?
             }
+            ChangeStep::ReadFleet { version } => {
+                ChangeEvent::FleetRead(read_fleet_rules(plan, version).await)
+            }
             ChangeStep::Done(outcome) => return Ok(outcome),
         };
         step = change.handle_event(event, now());
@@ -141,6 +145,17 @@
     }))
 }
 
+/// Returns the rules of a version from one of the given daemons that has it in force.
+async fn read_fleet_rules(plan: &ChangePlan, version: u64) -> Option<String> {
+    let client = DaemonClient::new();
+    for address in plan.confirm_daemons.iter().chain(&plan.source_daemons) {
+        if let Some(text) = client.fetch_rules_of(address, version).await {
+            return Some(text);
+        }
+    }
+    None
+}
+
 async fn execute_write(
     client: &PlatformClient,
     expected: Option<&StoredValue>,
--- a/crates/hyssopstair/src/ops/change_report.rs
+++ b/crates/hyssopstair/src/ops/change_report.rs
@@ -31,6 +31,17 @@
                 format_errors(text, errors)
             ),
         ),
+        ChangeOutcome::PlatformBehind {
+            stored_version,
+            fleet_version,
+        } => CommandError::new(
+            FailureKind::Unavailable,
+            format!(
+                "nothing was written: the platform came back from a copy; it holds version \
+                 {stored_version}, and daemons have version {fleet_version} in force, but none \
+                 of the given ones sent its rules; pass --daemon ADDRESS of one that has it"
+            ),
+        ),
         ChangeOutcome::NotWritten => CommandError::new(
             FailureKind::Unavailable,
             "nothing was written: the platform does not answer; check --platform, or try again \
--- a/crates/hyssopstair/src/ops/daemon.rs
+++ b/crates/hyssopstair/src/ops/daemon.rs
@@ -87,6 +87,21 @@
         response.text().await
     }
 
+    /// Returns the text of the rules of a version, or `None` if the daemon at an admin address
+    /// does not have this version in force.
+    pub async fn fetch_rules_of(&self, address: &str, version: u64) -> Option<String> {
+        let has_version = async || {
+            let status = self.fetch_status(address).await;
+            status.is_ok_and(|status| status.version == version)
+        };
+        if !has_version().await {
+            return None;
+        }
+        let text = self.fetch_rules(address).await.ok()?;
+        // The version may have changed before the text was read.
+        has_version().await.then_some(text)
+    }
+
     async fn fetch_json<A: DeserializeOwned>(
         &self,
         address: &str,
--- a/crates/hyssopstaird/tests/configuration.rs
+++ b/crates/hyssopstaird/tests/configuration.rs
@@ -88,3 +88,41 @@
     expect!["[]"].assert_eq(&format!("{:?}", end_reasons(&feeds)));
     expect!["[]"].assert_eq(&format!("{:?}", end_reasons(&later_feeds)));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_after_a_restore_keeps_the_changes_that_the_platform_has_lost() {
+    let fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
+    let platform = fleet.platform_address();
+    fleet
+        .post_json(platform, "/copy", &json!({}))
+        .await
+        .unwrap();
+    let rules = format!("{}key 2 # test: yearly change\n", fleet.initial_rules());
+    fleet.apply_rules(&rules).await.unwrap();
+
+    fleet
+        .post_json(platform, "/restore", &json!({}))
+        .await
+        .unwrap();
+    let mut arguments: Vec<String> = ["drain", "--asked-by", "test", "--platform"]
+        .map(str::to_owned)
+        .to_vec();
+    arguments.push(format!("http://{platform}"));
+    for name in fleet.balancer_names() {
+        arguments.push("--confirm".to_owned());
+        arguments.push(fleet.admin_address(&name).to_string());
+    }
+    arguments.push(fleet.inner_address(&fleet.host_names()[0]).to_string());
+    fleet.run_operator_command(&arguments).await.unwrap();
+    let show_arguments = ["show", "--platform"].map(str::to_owned);
+    let mut show_arguments = show_arguments.to_vec();
+    show_arguments.push(format!("http://{platform}"));
+    let text = fleet.run_operator_command(&show_arguments).await.unwrap();
+    let new_lines: Vec<&str> = text
+        .lines()
+        .filter(|line| line.starts_with("key 2") || line.starts_with("drain"))
+        .map(|line| line.split(' ').next().unwrap_or_default())
+        .collect();
+    expect![[r#"["key", "drain"]"#]].assert_eq(&format!("{new_lines:?}"));
+    expect!["Some(3)"].assert_eq(&format!("{:?}", fleet.fetch_version("balancer-1").await));
+}
--- a/crates/platform/src/change.rs
+++ b/crates/platform/src/change.rs
@@ -15,6 +15,9 @@
 //!   delayed and still take effect, so exactly the same write is sent again.
 //! - If it is another one, the write can no longer take effect, and the change is merged
 //!   into the new configuration.
+//! - If daemons have a higher version in force than the platform holds, the platform has come
+//!   back from a copy. The change is then merged into the rules of the daemons, so that the
+//!   changes that the platform has lost stay in force.
 //! - If so many other changes followed that the record no longer lists changes of that
 //!   age, the outcome remains unknown.
 
@@ -106,6 +109,8 @@
     WriteRejected,
     /// The write was not answered. It may have taken effect, or may still do so.
     WriteResultUnknown,
+    /// The rules of the daemons were read; `None` if none of them sent the wanted version.
+    FleetRead(Option<String>),
 }
 
 /// The next action to execute.
@@ -123,6 +128,11 @@
         /// The record to write.
         record: ConfigurationRecord,
     },
+    /// Read the text of this version from a daemon that has it in force.
+    ReadFleet {
+        /// The version.
+        version: u64,
+    },
     /// The change has ended with this outcome.
     Done(ChangeOutcome),
 }
@@ -157,6 +167,14 @@
         /// The errors in it.
         errors: Vec<RuleError>,
     },
+    /// Daemons have a higher version in force than the platform holds, and none of them sent
+    /// its text; nothing was written.
+    PlatformBehind {
+        /// The version that the platform holds; 0 if it holds none.
+        stored_version: u64,
+        /// The highest version in force.
+        fleet_version: u64,
+    },
     /// The platform did not answer before the deadline; nothing was written.
     NotWritten,
     /// The platform did not answer before the deadline. The change may have been
@@ -191,6 +209,10 @@
     /// configuration is another one. If the store comes back from a copy, the one that the
     /// write expects may exist again.
     given_up: Option<(u64, u64)>,
+    /// The text of the highest version of any daemon, once it was read.
+    fleet_text: Option<String>,
+    /// The configuration that was read before the text of the daemons is.
+    awaiting_fleet: Option<StoredRecord>,
 }
 
 impl ChangeState {
@@ -212,6 +234,8 @@
             latest_position: (0, 0),
             pending: None,
             given_up: None,
+            fleet_text: None,
+            awaiting_fleet: None,
         }
     }
 
@@ -236,6 +260,7 @@
             // The client may have sent the write twice. If the first attempt took
             // effect, it changed the revision, and the second one was rejected.
             ChangeEvent::WriteRejected => self.read_immediately(now),
+            ChangeEvent::FleetRead(text) => self.handle_fleet_text(text, now),
             ChangeEvent::Written => ChangeStep::Done(self.written_outcome()),
         }
     }
@@ -304,24 +329,66 @@
             self.given_up = Some((write.era, version));
             self.pending = None;
         }
-        match self.build_text(stored) {
+        let is_behind = stored.record.version < self.highest_known_version;
+        if is_behind && self.fleet_text.is_none() {
+            self.awaiting_fleet = Some(stored.clone());
+            return ChangeStep::ReadFleet {
+                version: self.highest_known_version,
+            };
+        }
+        self.merge_change(stored, now)
+    }
+
+    /// Goes on with the change once the text of the daemons was read.
+    fn handle_fleet_text(&mut self, text: Option<String>, now: MonotonicTime) -> ChangeStep {
+        let Some(stored) = self.awaiting_fleet.take() else {
+            return self.read_immediately(now);
+        };
+        if text.is_none() {
+            return self.end_unwritten(ChangeOutcome::PlatformBehind {
+                stored_version: stored.record.version,
+                fleet_version: self.highest_known_version,
+            });
+        }
+        self.fleet_text = text;
+        self.merge_change(&stored, now)
+    }
+
+    /// Merges the change into the newest configuration: the stored one, or that of the
+    /// daemons if the platform has lost it.
+    fn merge_change(&mut self, stored: &StoredRecord, now: MonotonicTime) -> ChangeStep {
+        let merged = match self.fleet_text.clone() {
+            Some(text) if stored.record.version < self.highest_known_version => {
+                self.build_text(self.highest_known_version, &text, stored)
+            }
+            _ => self.build_text(stored.record.version, &stored.record.text, stored),
+        };
+        match merged {
             Ok(text) => self.write_text(stored, text, now),
             Err(outcome) => self.end_unwritten(outcome),
         }
     }
 
-    /// Returns the text of the new configuration, or the outcome of the change if there is
-    /// nothing to write.
-    fn build_text(&self, stored: &StoredRecord) -> Result<String, ChangeOutcome> {
-        let old_text = &stored.record.text;
-        let version = stored.record.version;
+    /// Returns the text that results from the change of `old_text`, the rules of `version`, or
+    /// the outcome of the change if there is nothing to write.
+    fn build_text(
+        &self,
+        version: u64,
+        old_text: &str,
+        stored: &StoredRecord,
+    ) -> Result<String, ChangeOutcome> {
         let text = match &self.intent {
+            // Without a base, operators write the rules anew to a platform that is empty.
+            ChangeIntent::Text { base, text } if base.is_empty() && stored.stored.is_none() => {
+                text.clone()
+            }
             ChangeIntent::Text { base, text } => merge_lines(base, text, old_text)
                 .map_err(|lines| ChangeOutcome::Conflict { version, lines })?,
             ChangeIntent::Drain { host, asked_by } => add_drain(old_text, *host, asked_by),
             ChangeIntent::Undrain { host } => remove_drain(old_text, *host),
         };
-        if version > 0 && text == normalize_line_breaks(old_text) {
+        let is_stored = version == stored.record.version;
+        if is_stored && version > 0 && text == normalize_line_breaks(old_text) {
             return Err(ChangeOutcome::Unchanged { version });
         }
         match RuleSet::parse(&text) {
--- a/crates/platform/tests/change_fuzz.rs
+++ b/crates/platform/tests/change_fuzz.rs
@@ -177,6 +177,7 @@
             ChangeOutcome::Unchanged { .. }
             | ChangeOutcome::Conflict { .. }
             | ChangeOutcome::Invalid { .. }
+            | ChangeOutcome::PlatformBehind { .. }
             | ChangeOutcome::NotWritten => {
                 assert!(
                     created_version.is_none() || may_resume,
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -226,6 +226,7 @@
                 };
                 self.write(store_write, call_outcome)
             }
+            ChangeStep::ReadFleet { .. } => ChangeEvent::FleetRead(None),
             ChangeStep::Done(_) => return,
         };
         if matches!(event, ChangeEvent::Read(_)) {
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -7,9 +7,13 @@
 use axum::Json;
 use axum::Router;
 use axum::extract::State;
+use axum::http::HeaderValue;
 use axum::http::StatusCode;
+use axum::middleware::map_response_with_state;
+use axum::response::Response;
 use axum::routing::post;
 use hyssopstair_platform::protocol::Compare;
+use hyssopstair_platform::protocol::ERA_HEADER;
 use hyssopstair_platform::protocol::KeyValue;
 use hyssopstair_platform::protocol::PutRequest;
 use hyssopstair_platform::protocol::RangeRequest;
@@ -44,7 +48,7 @@
     pub writes: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct StoredItem {
     key: Vec<u8>,
     value: Vec<u8>,
@@ -56,6 +60,10 @@
     /// Sorted by key.
     items: Vec<StoredItem>,
     revision: u64,
+    /// The items and the revision of the last copy.
+    copy: Option<(Vec<StoredItem>, u64)>,
+    /// Number of times that the service has come back from a copy.
+    era: u64,
     faults: PlatformFaults,
     counts: PlatformCounts,
 }
@@ -73,8 +81,11 @@
             .route("/v3/kv/range", post(read_range))
             .route("/v3/kv/txn", post(execute_transaction))
             .route("/faults", post(set_faults))
+            .route("/copy", post(copy_items))
+            .route("/restore", post(restore_copy))
             .route("/counts", axum::routing::get(get_counts))
             .with_state(self.clone())
+            .layer(map_response_with_state(self.clone(), add_era))
     }
 
     /// Delays a call, and rejects it if the service is stopped.
@@ -205,6 +216,33 @@
     store.state.lock().faults = faults;
 }
 
+/// Copies the items, so that the service can come back from the copy.
+async fn copy_items(State(store): State<PlatformStore>) {
+    let mut state = store.state.lock();
+    let copy = (state.items.clone(), state.revision);
+    state.copy = Some(copy);
+}
+
+/// Brings the service back from the last copy, in the next era. What was written since is
+/// gone, and its revisions are given out again.
+async fn restore_copy(State(store): State<PlatformStore>) -> StatusCode {
+    let mut state = store.state.lock();
+    let Some((items, revision)) = state.copy.clone() else {
+        return StatusCode::CONFLICT;
+    };
+    state.items = items;
+    state.revision = revision;
+    state.era += 1;
+    StatusCode::OK
+}
+
+/// Adds the header that names the era.
+async fn add_era(State(store): State<PlatformStore>, mut response: Response) -> Response {
+    let era = HeaderValue::from(store.state.lock().era);
+    response.headers_mut().insert(ERA_HEADER, era);
+    response
+}
+
 async fn get_counts(State(store): State<PlatformStore>) -> Json<PlatformCounts> {
     Json(store.state.lock().counts)
 }
