--- a/crates/platform/tests/change.rs
+++ b/crates/platform/tests/change.rs
@@ -68,7 +68,8 @@
         deadline leerplein 5000  # A. Visser
         key 2  # A. Visser
         drain 127.1.2.1:7000  # A. Visser
-    "#]].assert_eq(&steps.join("\n"));
+    "#]]
+    .assert_eq(&steps.join("\n"));
 }
 
 #[test]
@@ -77,7 +78,8 @@
     let now = MonotonicTime::default();
     change.handle_event(ChangeEvent::Read(stored_record(10, 40, 2)), now);
     let step = change.handle_event(ChangeEvent::FleetRead(None), now);
-    expect!["Done(PlatformBehind { stored_version: 10, fleet_version: 12 })"].assert_eq(&describe_step(&step));
+    expect!["Done(PlatformBehind { stored_version: 10, fleet_version: 12 })"]
+        .assert_eq(&describe_step(&step));
 }
 
 #[test]
@@ -97,5 +99,6 @@
         service leerplein id 1 address 127.1.0.10:4433  # A. Visser
         deadline leerplein 5000  # A. Visser
         drain 127.1.2.1:7000  # A. Visser
-    "#]].assert_eq(&steps.join("\n"));
+    "#]]
+    .assert_eq(&steps.join("\n"));
 }
