Do not say that a change stays written which the platform has lost

Operators saw, when daemons did not confirm in time: 'the change stays written and takes effect on these daemons once they receive it', also after the platform had come back from a copy without it.

Change: the platform is read before the message; if it holds an older version than the one that it accepted, the message says so and asks to apply the change again. The test failed before with the old sentence.

--- a/crates/hyssopstair/src/ops/change.rs
+++ b/crates/hyssopstair/src/ops/change.rs
@@ -87,11 +87,15 @@
             confirmed_count: confirmation.expected_count(),
         });
     }
+    let consequence = match has_lost_version(&client, version).await {
+        true => "the platform has come back from a copy without the change; apply the change again",
+        false => "the change stays written and takes effect on these daemons once they receive it",
+    };
     Err(Report::new(CommandError::new(
         FailureKind::Unconfirmed,
         format!(
-            "written as version {version}, but {} of {} daemons have not confirmed it: {}; the \
-             change stays written and takes effect on these daemons once they receive it",
+            "written as version {version}, but {} of {} daemons have not confirmed it: {}; \
+             {consequence}",
             unconfirmed.len(),
             confirmation.expected_count(),
             unconfirmed.join(", ")
@@ -99,6 +103,15 @@
     )))
 }
 
+/// Returns whether the platform answers and holds an older version than one that it has
+/// accepted.
+async fn has_lost_version(client: &PlatformClient, accepted_version: u64) -> bool {
+    match execute_read(client).await {
+        Ok(ChangeEvent::Read(stored)) => stored.record.version < accepted_version,
+        _ => false,
+    }
+}
+
 /// Executes the steps of a change until its outcome is decided. A new version is higher
 /// than `highest_version`, the highest among the daemons that must confirm it, even if
 /// the platform has lost its configuration.
--- a/crates/hyssopstaird/tests/configuration.rs
+++ b/crates/hyssopstaird/tests/configuration.rs
@@ -89,6 +89,12 @@
     expect!["[]"].assert_eq(&format!("{:?}", end_reasons(&later_feeds)));
 }
 
+/// Returns the arguments that print what the platform holds.
+fn show_arguments(fleet: &TestFleet) -> [String; 3] {
+    let url = format!("http://{}", fleet.platform_address());
+    ["show".to_owned(), "--platform".to_owned(), url]
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_after_a_restore_keeps_the_changes_that_the_platform_has_lost() {
     let fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
@@ -114,10 +120,10 @@
     }
     arguments.push(fleet.inner_address(&fleet.host_names()[0]).to_string());
     fleet.run_operator_command(&arguments).await.unwrap();
-    let show_arguments = ["show", "--platform"].map(str::to_owned);
-    let mut show_arguments = show_arguments.to_vec();
-    show_arguments.push(format!("http://{platform}"));
-    let text = fleet.run_operator_command(&show_arguments).await.unwrap();
+    let text = fleet
+        .run_operator_command(&show_arguments(&fleet))
+        .await
+        .unwrap();
     let new_lines: Vec<&str> = text
         .lines()
         .filter(|line| line.starts_with("key 2") || line.starts_with("drain"))
@@ -126,3 +132,49 @@
     expect![[r#"["key", "drain"]"#]].assert_eq(&format!("{new_lines:?}"));
     expect!["Some(3)"].assert_eq(&format!("{:?}", fleet.fetch_version("balancer-1").await));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_the_platform_has_lost_is_not_said_to_stay_written() {
+    let fleet = TestFleet::start(FleetPlan::small()).await.unwrap();
+    let platform = fleet.platform_address();
+    let mut names = fleet.balancer_names();
+    names.extend(fleet.host_names());
+    for name in &names {
+        fleet.send_signal(name, Signal::SIGSTOP).unwrap();
+    }
+    fleet
+        .post_json(platform, "/copy", &json!({}))
+        .await
+        .unwrap();
+    let arguments = [
+        "drain".to_owned(),
+        "--asked-by".to_owned(),
+        "test".to_owned(),
+        "--wait".to_owned(),
+        "4".to_owned(),
+        "--platform".to_owned(),
+        format!("http://{platform}"),
+        "--confirm".to_owned(),
+        fleet.admin_address("balancer-1").to_string(),
+        fleet.inner_address(&fleet.host_names()[0]).to_string(),
+    ];
+    let command = tokio::spawn(TestFleet::run_command(arguments.to_vec()));
+    let show_arguments = show_arguments(&fleet);
+    fleet
+        .wait_for("version 2 in the platform", async || {
+            let shown = fleet.run_operator_command(&show_arguments).await;
+            shown.is_ok_and(|text| text.starts_with("# version 2"))
+        })
+        .await
+        .unwrap();
+    fleet
+        .post_json(platform, "/restore", &json!({}))
+        .await
+        .unwrap();
+    let error = command.await.unwrap().unwrap_err().to_string();
+    let consequence: Vec<&str> = error.trim().rsplit("; ").take(2).collect();
+    expect![[
+        r#"["apply the change again", "the platform has come back from a copy without the change"]"#
+    ]]
+    .assert_eq(&format!("{consequence:?}"));
+}
