Tell the first era of the store from no era

Callers would have seen: after the first restore, lists of open flows that are gone are not saved again, if the store counts its eras from 0.

Cause: 0 stood for 'no era is known', and the first rise, 0 to 1, for the first report. The users' page does not say where the count begins.

Change: a missing era is a missing value. The stand-in counts from 0 now; with it, the test of saved flows failed before (20 s waited) and passes.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -191,7 +191,7 @@
     }
 
     /// Records the newest era of the store. The next tick then announces it to the peers.
-    pub fn record_store_era(&mut self, era: StoreEra, outbox: &mut FlowOutbox) {
+    pub fn record_store_era(&mut self, era: Option<StoreEra>, outbox: &mut FlowOutbox) {
         if self.store_era.record(era, outbox) {
             self.schedule_hellos();
         }
--- a/crates/flows/src/host/saved_flows.rs
+++ b/crates/flows/src/host/saved_flows.rs
@@ -83,7 +83,7 @@
 
     /// Records the newest era of the store. If the store has come back from a copy, the saved
     /// lists may be gone, and all flows are to be saved again.
-    pub fn record_store_era(&mut self, era: StoreEra, outbox: &mut FlowOutbox) {
+    pub fn record_store_era(&mut self, era: Option<StoreEra>, outbox: &mut FlowOutbox) {
         if self.saved.store_era.record(era, outbox) {
             self.saved.schedule.forget_saved();
             // A confirmation that is under way may be of the former era.
--- a/crates/flows/src/store_position.rs
+++ b/crates/flows/src/store_position.rs
@@ -13,7 +13,7 @@
 /// A position in the history of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StorePosition {
-    /// The era.
+    /// The era; 0 if the store reports none.
     pub era: StoreEra,
     /// The revision, within the era.
     pub revision: u64,
@@ -46,26 +46,25 @@
     }
 }
 
-/// The newest era of the store that a process knows.
+/// The newest era of the store that a process knows, if any.
 #[derive(Debug, Default)]
-pub struct KnownEra(StoreEra);
+pub struct KnownEra(Option<StoreEra>);
 
 impl KnownEra {
-    /// Returns the era; 0 if none is known.
-    pub fn get(&self) -> StoreEra {
+    /// Returns the era.
+    pub fn get(&self) -> Option<StoreEra> {
         self.0
     }
 
     /// Records an era, unless a newer one is known, and returns whether the store has come
     /// back from a copy since the known one.
-    pub fn record(&mut self, era: StoreEra, outbox: &mut FlowOutbox) -> bool {
-        if era <= self.0 {
+    pub fn record(&mut self, era: Option<StoreEra>, outbox: &mut FlowOutbox) -> bool {
+        let Some(era) = era.filter(|era| Some(*era) > self.0) else {
             return false;
-        }
-        let former_era = std::mem::replace(&mut self.0, era);
-        if former_era == 0 {
+        };
+        let Some(former_era) = self.0.replace(era) else {
             return false;
-        }
+        };
         outbox.record_event(FlowEvent::StoreRestored { era, former_era });
         true
     }
--- a/crates/flows/tests/model/world/store.rs
+++ b/crates/flows/tests/model/world/store.rs
@@ -76,7 +76,7 @@
         let era = self.store_era;
         self.update_process(address, |role, outbox| {
             if let ProcessRole::Balancer(balancer) = role {
-                balancer.record_store_era(era, outbox);
+                balancer.record_store_era(Some(era), outbox);
             }
         });
     }
--- a/crates/flows/tests/saved_flows.rs
+++ b/crates/flows/tests/saved_flows.rs
@@ -229,12 +229,12 @@
 fn a_confirmed_list_is_sent_again_once_the_store_has_come_back_from_a_copy() {
     let mut outbox = FlowOutbox::default();
     let mut host = host_with_flow(5_001);
-    host.record_store_era(3, &mut outbox);
+    host.record_store_era(Some(0), &mut outbox);
     let mut saves = vec![save_at(&mut host, 1_200, true)];
     saves.push(save_at(&mut host, 4_000, true));
-    host.record_store_era(3, &mut outbox);
+    host.record_store_era(Some(0), &mut outbox);
     saves.push(save_at(&mut host, 6_500, true));
-    host.record_store_era(4, &mut outbox);
+    host.record_store_era(Some(1), &mut outbox);
     saves.push(save_at(&mut host, 9_000, true));
     expect![[r#"
         1200 ms
@@ -251,8 +251,13 @@
     let mut host = new_ready_host(1);
     let from = balancer_address(1);
     let mut lines = Vec::new();
-    for (number, era) in [(1, Some(2)), (2, None), (3, Some(3)), (4, Some(2))] {
-        let extension = era.map(|store_era| HelloExtension { store_era }.encode());
+    for (number, era) in [(1, Some(0)), (2, None), (3, Some(1)), (4, Some(0))] {
+        let extension = era.map(|store_era| {
+            HelloExtension {
+                store_era: Some(store_era),
+            }
+            .encode()
+        });
         let bytes = extension.unwrap_or_default();
         let mut outbox = FlowOutbox::default();
         let hello = balancer_hello(number);
@@ -264,10 +269,10 @@
         lines.push(format!("{era:?}: {}", restores.collect::<String>()));
     }
     expect![[r#"
-        Some(2): 
+        Some(0): 
         None: 
-        Some(3): 2 to 3
-        Some(2): "#]]
+        Some(1): 0 to 1
+        Some(0): "#]]
     .assert_eq(&lines.join("\n"));
 }
 
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -82,7 +82,7 @@
     }
 
     /// Records the newest era of the store that the process knows from the store itself.
-    pub fn record_store_era(&mut self, era: StoreEra, outbox: &mut FlowOutbox) {
+    pub fn record_store_era(&mut self, era: Option<StoreEra>, outbox: &mut FlowOutbox) {
         match self {
             Self::Balancer(balancer) => balancer.record_store_era(era, outbox),
             Self::Host(host) => host.record_store_era(era, outbox),
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -296,9 +296,9 @@
         self.metrics
             .routes_version
             .set(self.forwarder.routes_version() as i64);
-        let era = self.eras.newest();
+        let era = self.eras.reported();
         self.forwarder.record_store_era(era, &mut self.outbox);
-        self.metrics.store_era.set(era as i64);
+        self.metrics.store_era.set(era.unwrap_or(0) as i64);
         self.status.publish(
             self.forwarder.is_ready(now) && self.stop_requested_at.is_none(),
             self.forwarder.routes_version(),
--- a/crates/hyssopstaird/src/carry/store.rs
+++ b/crates/hyssopstaird/src/carry/store.rs
@@ -107,8 +107,10 @@
             Err(_) => return Err(StoreError::NoResponse("timed out".to_owned())),
         };
         self.sender = Some(sender);
+        if let Some(era) = era {
+            self.eras.record(era);
+        }
         let era = era.unwrap_or_else(|| self.eras.newest());
-        self.eras.record(era);
         if status.is_success() {
             Ok(StoreResponse { body, era })
         } else {
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -53,8 +53,8 @@
 /// with each restart at the same address, unless the system clock was set back.
 pub type ProcessStart = u64;
 
-/// Number of times that the platform's store has come back from a copy, as the store
-/// reports it; 0 if it reports none.
+/// A number that the platform's store reports, and that rises each time that the store
+/// comes back from a copy.
 pub type StoreEra = u64;
 
 /// The state of a backend server, as known to its host.
@@ -153,8 +153,8 @@
 /// of different builds understand each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct HelloExtension {
-    /// The newest era of the store that the sender knows.
-    pub store_era: StoreEra,
+    /// The newest era of the store that the sender knows, if the store reports any.
+    pub store_era: Option<StoreEra>,
 }
 
 impl HelloExtension {
