--- a/crates/platform/src/change.rs
+++ b/crates/platform/src/change.rs
@@ -5,9 +5,9 @@
 //!
 //! Each write is conditional on the revision and the value of the stored configuration, so
 //! at most one of several concurrent writes succeeds, also if the store has come back from
-//! a copy in between and has given out the revision again. A missing answer does not tell whether
-//! the write took effect, and a rejection may be the result of a second attempt after
-//! a first one that succeeded. In both cases the configuration is read again, because
+//! a copy in between and has given out the revision again. A missing answer does not tell
+//! whether the write took effect, and a rejection may be the result of a second attempt
+//! after a first one that succeeded. In both cases the configuration is read again, because
 //! each record lists its latest changes:
 //!
 //! - If it lists the change, the change is written.
@@ -194,6 +194,17 @@
     record: ConfigurationRecord,
 }
 
+/// The latest write with an unknown result that was given up, because the configuration is
+/// another one than it expects. If the store comes back from a copy, the expected one may
+/// exist again.
+#[derive(Debug, Clone, Copy)]
+struct AbandonedWrite {
+    /// The era of the store in which it was first sent.
+    era: u64,
+    /// The version that it creates.
+    version: u64,
+}
+
 /// The state of a change that is being written to the platform.
 #[derive(Debug, Clone)]
 pub struct ChangeState {
@@ -205,10 +216,7 @@
     /// The position of the latest read. A read that returns a lower one is stale.
     latest_position: (u64, u64),
     pending: Option<PendingWrite>,
-    /// The era and the version of the latest write that was given up because the
-    /// configuration is another one. If the store comes back from a copy, the one that the
-    /// write expects may exist again.
-    given_up: Option<(u64, u64)>,
+    abandoned: Option<AbandonedWrite>,
     /// The text of the highest version of any daemon, once it was read.
     fleet_text: Option<String>,
     /// The configuration that was read before the text of the daemons is.
@@ -233,7 +241,7 @@
             backoff: MIN_BACKOFF,
             latest_position: (0, 0),
             pending: None,
-            given_up: None,
+            abandoned: None,
             fleet_text: None,
             awaiting_fleet: None,
         }
@@ -301,12 +309,14 @@
         }
     }
 
-    /// Ends the change with an outcome by which nothing was written, unless a write that was
-    /// given up may still take effect, since the store has come back from a copy.
+    /// Ends the change with an outcome by which nothing was written, unless an abandoned write
+    /// may still take effect, since the store has come back from a copy.
     fn end_unwritten(&self, outcome: ChangeOutcome) -> ChangeStep {
         let (latest_era, _) = self.latest_position;
-        ChangeStep::Done(match self.given_up {
-            Some((era, version)) if era < latest_era => ChangeOutcome::MayBeWritten { version },
+        ChangeStep::Done(match self.abandoned {
+            Some(write) if write.era < latest_era => ChangeOutcome::MayBeWritten {
+                version: write.version,
+            },
             _ => outcome,
         })
     }
@@ -326,7 +336,10 @@
             if !stored.record.covers_version(version) {
                 return ChangeStep::Done(ChangeOutcome::MayBeWritten { version });
             }
-            self.given_up = Some((write.era, version));
+            self.abandoned = Some(AbandonedWrite {
+                era: write.era,
+                version,
+            });
             self.pending = None;
         }
         let is_behind = stored.record.version < self.highest_known_version;
