Ask in one place whether the platform is behind the daemons

The condition stood in three places of a change, twice as a comparison and once inverted, and the text of the daemons was cloned only to be borrowed.

--- a/crates/platform/src/change.rs
+++ b/crates/platform/src/change.rs
@@ -342,8 +342,7 @@
             });
             self.pending = None;
         }
-        let is_behind = stored.record.version < self.highest_known_version;
-        if is_behind && self.fleet_text.is_none() {
+        if self.is_platform_behind(stored) && self.fleet_text.is_none() {
             self.awaiting_fleet = Some(stored.clone());
             return ChangeStep::ReadFleet {
                 version: self.highest_known_version,
@@ -352,6 +351,11 @@
         self.merge_change(stored, now)
     }
 
+    /// Returns whether a daemon has a higher version in force than the platform holds.
+    fn is_platform_behind(&self, stored: &StoredRecord) -> bool {
+        stored.record.version < self.highest_known_version
+    }
+
     /// Goes on with the change once the text of the daemons was read.
     fn handle_fleet_text(&mut self, text: Option<String>, now: MonotonicTime) -> ChangeStep {
         let Some(stored) = self.awaiting_fleet.take() else {
@@ -370,9 +374,9 @@
     /// Merges the change into the newest configuration: the stored one, or that of the
     /// daemons if the platform has lost it.
     fn merge_change(&mut self, stored: &StoredRecord, now: MonotonicTime) -> ChangeStep {
-        let merged = match self.fleet_text.clone() {
-            Some(text) if stored.record.version < self.highest_known_version => {
-                self.build_text(self.highest_known_version, &text, stored)
+        let merged = match &self.fleet_text {
+            Some(text) if self.is_platform_behind(stored) => {
+                self.build_text(self.highest_known_version, text, stored)
             }
             _ => self.build_text(stored.record.version, &stored.record.text, stored),
         };
@@ -400,7 +404,7 @@
             ChangeIntent::Drain { host, asked_by } => add_drain(old_text, *host, asked_by),
             ChangeIntent::Undrain { host } => remove_drain(old_text, *host),
         };
-        let is_stored = version == stored.record.version;
+        let is_stored = !self.is_platform_behind(stored);
         if is_stored && version > 0 && text == normalize_line_breaks(old_text) {
             return Err(ChangeOutcome::Unchanged { version });
         }
