--- a/crates/flows/tests/heartbeat.rs
+++ b/crates/flows/tests/heartbeat.rs
@@ -76,15 +76,7 @@
     open_flow(&mut host, 4_001, 20, &mut outbox);
     outbox.clear();
     // The caller acknowledges the stream of another server, which starts at 900000.
-    let mut other_packet = request_packet(4_001);
-    other_packet.acknowledged = 900_001;
-    let owner_header = carry_header(ForwardPurpose::Owner);
-    host.receive_forwarded_packet(
-        &owner_header,
-        &raw_packet(&other_packet),
-        at(27),
-        &mut outbox,
-    );
+    receive_owner_request(&mut host, 900_001, at(27), &mut outbox);
     expect!["Peer(10.0.2.1): Returned { purpose: Owner } + 6 bytes"]
         .assert_eq(&take_output(&mut outbox));
 }
--- a/crates/flows/tests/host_restart.rs
+++ b/crates/flows/tests/host_restart.rs
@@ -353,15 +353,7 @@
     open_flow(&mut host, 4_001, 20, &mut outbox);
     outbox.clear();
     // The other server's stream starts 300 bytes further on.
-    let mut other_packet = request_packet(4_001);
-    other_packet.acknowledged = 5_301;
-    let owner_header = carry_header(ForwardPurpose::Owner);
-    host.receive_forwarded_packet(
-        &owner_header,
-        &raw_packet(&other_packet),
-        at(27),
-        &mut outbox,
-    );
+    receive_owner_request(&mut host, 5_301, at(27), &mut outbox);
     expect!["Peer(10.0.2.1): Returned { purpose: Owner } + 6 bytes"]
         .assert_eq(&take_output(&mut outbox));
 }
@@ -492,15 +484,7 @@
     open_flow(&mut host, 4_001, 20, &mut outbox);
     host.receive_check_result(CheckResult::Refused, at(100), &mut outbox);
     outbox.clear();
-    let mut other_packet = request_packet(4_001);
-    other_packet.acknowledged = 900_001;
-    let owner_header = carry_header(ForwardPurpose::Owner);
-    host.receive_forwarded_packet(
-        &owner_header,
-        &raw_packet(&other_packet),
-        at(120),
-        &mut outbox,
-    );
+    receive_owner_request(&mut host, 900_001, at(120), &mut outbox);
     expect!["Peer(10.0.2.1): Returned { purpose: Owner } + 6 bytes"]
         .assert_eq(&take_output(&mut outbox));
 }
--- a/crates/flows/tests/membership.rs
+++ b/crates/flows/tests/membership.rs
@@ -8,30 +8,11 @@
 use expect_test::expect;
 use hyssopstair_flows::outbox::Destination;
 use hyssopstair_flows::outbox::FlowOutbox;
-use hyssopstair_wire::carried::BalancerHello;
 use hyssopstair_wire::carried::CarryMessage;
-use hyssopstair_wire::carried::HelloMessage;
 use hyssopstair_wire::carried::HelloRole;
 
 use crate::fixture::*;
 
-/// Returns a hello of a balancer that knows no peers.
-fn balancer_hello(number: u32) -> CarryMessage {
-    CarryMessage::Hello(HelloMessage {
-        started: 1,
-        number,
-        zone: "utr-a".to_owned(),
-        routes: 1,
-        wants_answer: false,
-        role: HelloRole::Balancer(BalancerHello {
-            is_stopping: false,
-            wants_flows: false,
-            hosts: 0,
-            balancers: Default::default(),
-        }),
-    })
-}
-
 /// Returns the balancers that the hellos to a peer announce.
 fn announced_balancers(peer: Ipv4Addr, outbox: &FlowOutbox) -> Vec<Ipv4Addr> {
     let mut announced = Vec::new();
@@ -55,7 +36,14 @@
     receive_host_hello(&mut balancer, 1, &host_hello(1, 0), at(10), &mut outbox);
     for number in 2..=50 {
         let from = balancer_address(number);
-        balancer.receive_peer_message(from, &balancer_hello(1), None, &[], at(10), &mut outbox);
+        balancer.receive_peer_message(
+            from,
+            &balancer_hello_with_hosts(1, 0),
+            None,
+            &[],
+            at(10),
+            &mut outbox,
+        );
     }
     outbox.clear();
     let mut announced = BTreeSet::new();
@@ -76,11 +64,18 @@
     receive_host_hello(&mut balancer, 1, &host_hello(1, 0), at(10), &mut outbox);
     for number in 3..=50 {
         let from = balancer_address(number);
-        balancer.receive_peer_message(from, &balancer_hello(1), None, &[], at(10), &mut outbox);
+        balancer.receive_peer_message(
+            from,
+            &balancer_hello_with_hosts(1, 0),
+            None,
+            &[],
+            at(10),
+            &mut outbox,
+        );
     }
     balancer.receive_peer_message(
         balancer_address(2),
-        &balancer_hello(1),
+        &balancer_hello_with_hosts(1, 0),
         None,
         &[],
         at(400),
--- a/crates/flows/tests/saved_flows.rs
+++ b/crates/flows/tests/saved_flows.rs
@@ -75,11 +75,8 @@
 
 /// Delivers a request on the flow of [`host_with_flow`].
 fn send_request(host: &mut FlowHost, acknowledged: u32, millis: u64) {
-    let mut request = request_packet(4_001);
-    request.acknowledged = acknowledged;
-    let header = carry_header(ForwardPurpose::Owner);
     let mut outbox = FlowOutbox::default();
-    host.receive_forwarded_packet(&header, &raw_packet(&request), at(millis), &mut outbox);
+    receive_owner_request(host, acknowledged, at(millis), &mut outbox);
 }
 
 /// Delivers a heartbeat and a hello of each balancer to a host at a time, runs the host's timers, and
--- a/crates/flows/tests/search.rs
+++ b/crates/flows/tests/search.rs
@@ -8,10 +8,8 @@
 use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::outbox::Destination;
 use hyssopstair_flows::outbox::FlowOutbox;
-use hyssopstair_wire::carried::BalancerHello;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::ForwardPurpose;
-use hyssopstair_wire::carried::HelloMessage;
 use hyssopstair_wire::carried::HelloRole;
 use hyssopstair_wire::carried::ServerState;
 
@@ -327,19 +325,7 @@
     let mut outbox = FlowOutbox::default();
     let mut balancer = new_balancer_with_hosts(&mut outbox);
     receive_hellos_until(&mut balancer, 2_000, &mut outbox);
-    let hello = CarryMessage::Hello(HelloMessage {
-        started: 1,
-        number: 1,
-        zone: "utr-a".to_owned(),
-        routes: 1,
-        wants_answer: false,
-        role: HelloRole::Balancer(BalancerHello {
-            is_stopping: false,
-            wants_flows: false,
-            hosts: 3,
-            balancers: Default::default(),
-        }),
-    });
+    let hello = balancer_hello_with_hosts(1, 3);
     balancer.receive_peer_message(
         balancer_address(2),
         &hello,
