Keep a server's reset of a flow that it is only probed for from the caller

A reset on a flow that the server is probed for, or is known not to hold, is now a denial: it goes to the balancer that asked, which resets the flow only if all hosts deny it. Resets on flows that the server was offered or holds pass as before.

Measured: the new test fails on the old code, which passes both resets on; the tests of the crate pass.

--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -203,6 +203,9 @@
         }
         let header = &packet.header;
         let flow = header.server_flow();
+        if header.is_reset && self.withhold_reset(&flow, outbox) {
+            return;
+        }
         outbox.enqueue_packet(Destination::Caller(*flow.caller.ip()), packet.bytes);
         self.track_server_packet(&flow, packet, now, outbox);
     }
--- a/crates/flows/src/host/records.rs
+++ b/crates/flows/src/host/records.rs
@@ -16,6 +16,7 @@
 use crate::event::FlowEvent;
 use crate::host::FlowHost;
 use crate::host::SHARDS_PER_TICK;
+use crate::host::load::LoadMeter;
 use crate::outbox::FlowOutbox;
 use crate::packet::PacketHeader;
 
@@ -263,21 +264,26 @@
     /// cannot hold them.
     pub(super) fn deny_probed_flows(&mut self, outbox: &mut FlowOutbox) {
         for (flow, record) in self.flows.iter_mut() {
-            if record.phase != FlowPhase::Probed {
-                continue;
-            }
-            record.phase = FlowPhase::Absent;
-            if record.request_started_at.take().is_some() {
-                self.load.discard_request();
+            if record.phase == FlowPhase::Probed {
+                deny_probed_flow(*flow, record, &mut self.load, outbox);
             }
-            if record.balancer.is_unspecified() {
-                continue;
+        }
+    }
+
+    /// Handles a reset that the server sends on a flow, and returns whether it must not
+    /// reach the caller. A server answers a packet of a flow that it does not hold with a
+    /// reset if it has not started yet; the flow may be open at another server.
+    pub(super) fn withhold_reset(&mut self, flow: &FlowKey, outbox: &mut FlowOutbox) -> bool {
+        let Some(record) = self.flows.get_mut(flow) else {
+            return false;
+        };
+        match record.phase {
+            FlowPhase::Probed => {
+                deny_probed_flow(*flow, record, &mut self.load, outbox);
+                true
             }
-            let message = CarryMessage::NotHeld {
-                flows: vec![*flow],
-                is_certain: true,
-            };
-            outbox.enqueue_message(record.balancer, &message, &[]);
+            FlowPhase::Absent => true,
+            FlowPhase::Offered | FlowPhase::Open | FlowPhase::Closed | FlowPhase::Broken => false,
         }
     }
 
@@ -347,3 +353,25 @@
         });
     }
 }
+
+/// Records that the server does not hold a flow that it was probed for, and tells the
+/// balancer that asked for the flow, if there is one.
+fn deny_probed_flow(
+    flow: FlowKey,
+    record: &mut FlowRecord,
+    load: &mut LoadMeter,
+    outbox: &mut FlowOutbox,
+) {
+    record.phase = FlowPhase::Absent;
+    if record.request_started_at.take().is_some() {
+        load.discard_request();
+    }
+    if record.balancer.is_unspecified() {
+        return;
+    }
+    let message = CarryMessage::NotHeld {
+        flows: vec![flow],
+        is_certain: true,
+    };
+    outbox.enqueue_message(record.balancer, &message, &[]);
+}
--- a/crates/flows/tests/host_restart.rs
+++ b/crates/flows/tests/host_restart.rs
@@ -6,6 +6,7 @@
 use hyssopstair_flows::heartbeat::ServerHeartbeat;
 use hyssopstair_flows::host::CheckResult;
 use hyssopstair_flows::outbox::FlowOutbox;
+use hyssopstair_flows::packet::PacketHeader;
 use hyssopstair_wire::carried::CarryHeader;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::ForwardPurpose;
@@ -125,6 +126,41 @@
     .assert_eq(&take_output(&mut outbox));
 }
 
+/// Failure: a host has just started, and its server has not. A balancer that does not know
+/// the host of a flow lets it probe that server, and what answers there is a reset. If the
+/// host passes it on, it ends a flow that is open at another server.
+#[test]
+fn a_reset_that_answers_a_probe_does_not_reach_the_caller() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_host(1);
+    let probe_header = carry_header(ForwardPurpose::Probe);
+    let request = request_packet(4_001);
+    for millis in [20, 21] {
+        host.receive_forwarded_packet(
+            &probe_header,
+            &raw_packet(&request),
+            at(millis),
+            &mut outbox,
+        );
+    }
+    expect![[r#"
+        Server: packet
+        Server: packet"#]]
+    .assert_eq(&take_output(&mut outbox));
+    let reset = PacketHeader {
+        is_reset: true,
+        data_length: 0,
+        ..answer_packet(4_001)
+    };
+    host.receive_server_packet(&raw_packet(&reset), at(22), &mut outbox);
+    host.receive_server_packet(&raw_packet(&reset), at(23), &mut outbox);
+    expect!["Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: true } + 0 bytes"]
+        .assert_eq(&take_output(&mut outbox));
+    host.receive_forwarded_packet(&probe_header, &raw_packet(&request), at(220), &mut outbox);
+    expect!["Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: true } + 0 bytes"]
+        .assert_eq(&take_output(&mut outbox));
+}
+
 #[test]
 fn a_host_denies_a_probed_flow_when_the_server_turns_out_to_have_just_started() {
     let mut outbox = FlowOutbox::default();
