Keep new flows away from the zones that operators have emptied

A balancer that may do so by its settings lists and watches these keys along with the configuration. The set of emptied zones travels behind hellos with the position of the store at which it is complete, the latest position wins, and it is known wherever routes are. Balancers leave out hosts of these zones; a host of such a zone passes new flows on. Without the setting, calls and decisions are as before.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -31,6 +31,8 @@
 use crate::balancer::saved_flows::SaveQueue;
 pub use crate::balancer::saved_flows::SaveRequest;
 use crate::balancer::search::PendingSearch;
+use crate::evacuation::EvacuatedZones;
+use crate::evacuation::EvacuationReplica;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
 use crate::event::RouteSource;
@@ -82,6 +84,7 @@
 pub struct FlowBalancer {
     identity: BalancerIdentity,
     routes: RouteReplica,
+    evacuation: EvacuationReplica,
     members: MemberTable,
     /// Addresses of other balancers that hellos are sent to, ascending.
     contacts: Vec<Ipv4Addr>,
@@ -120,6 +123,7 @@
         let mut balancer = Self {
             identity,
             routes: RouteReplica::default(),
+            evacuation: EvacuationReplica::default(),
             members: MemberTable::default(),
             contacts: Vec::new(),
             recent_balancers: ArrayVec::new(),
@@ -190,6 +194,22 @@
         }
     }
 
+    /// Installs the emptied zones that were read from the store if they are newer than those
+    /// in force. The next tick then announces them to the peers.
+    pub fn set_evacuation(&mut self, evacuated: EvacuatedZones, outbox: &mut FlowOutbox) {
+        if self
+            .evacuation
+            .install(evacuated, RouteSource::Store, outbox)
+        {
+            self.schedule_hellos();
+        }
+    }
+
+    /// Returns the names of the emptied zones, ascending.
+    pub fn evacuated_zones(&self) -> &[String] {
+        self.evacuation.zones()
+    }
+
     /// Records the newest era of the store. The next tick then announces it to the peers.
     pub fn record_store_era(&mut self, era: Option<StoreEra>, outbox: &mut FlowOutbox) {
         if self.store_era.record(era, outbox) {
--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -24,6 +24,7 @@
 use crate::holding::opening_age;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
+use crate::placing::PlacementRequest;
 use crate::placing::order_candidates;
 use crate::ranking::hash_flow;
 
@@ -285,14 +286,16 @@
         outbox: &mut FlowOutbox,
     ) {
         let is_discovery_complete = self.is_discovery_complete(now);
-        let reason = if new_flow.tried_hosts.is_empty() {
-            RefusalReason::NoHost
-        } else {
+        let reason = if !new_flow.tried_hosts.is_empty() {
             RefusalReason::NoCapacity
+        } else if self.is_service_evacuated(&route_match.service) {
+            RefusalReason::ZoneEvacuated
+        } else {
+            RefusalReason::NoHost
         };
         let deadline =
             new_flow.arrived_at + max_hold_time(route_match.timeout, is_discovery_complete);
-        let is_unservable = is_discovery_complete && reason == RefusalReason::NoHost;
+        let is_unservable = is_discovery_complete && reason != RefusalReason::NoCapacity;
         if is_unservable || now >= deadline {
             self.refuse_flow(new_flow.flow, reason, outbox);
             return;
@@ -310,6 +313,19 @@
         }
     }
 
+    /// Returns whether a host of the service accepts new flows, and all that do are in emptied
+    /// zones.
+    fn is_service_evacuated(&self, service: &str) -> bool {
+        let mut fallbacks = self
+            .members
+            .hosts()
+            .iter()
+            .filter(|record| record.service == service && record.is_fallback())
+            .peekable();
+        fallbacks.peek().is_some()
+            && fallbacks.all(|record| self.evacuation.contains(&record.peer.zone))
+    }
+
     fn match_route(&self, flow: &FlowKey) -> Option<RouteMatch> {
         let route = self.routes.table().route(flow.target)?;
         Some(RouteMatch {
@@ -325,15 +341,15 @@
         route_match: &RouteMatch,
         now: MonotonicTime,
     ) -> CandidateList {
-        order_candidates(
-            self.members.hosts(),
-            &route_match.service,
-            &self.identity.zone,
-            hash_flow(&new_flow.flow),
-            &new_flow.tried_hosts,
-            &self.members.timeouts(),
-            now,
-        )
+        let request = PlacementRequest {
+            service: &route_match.service,
+            zone: &self.identity.zone,
+            flow_hash: hash_flow(&new_flow.flow),
+            excluded: &new_flow.tried_hosts,
+            evacuated_zones: self.evacuation.zones(),
+        };
+        let timeouts = self.members.timeouts();
+        order_candidates(self.members.hosts(), &request, &timeouts, now)
     }
 
     fn refuse_flow(&self, flow: FlowKey, reason: RefusalReason, outbox: &mut FlowOutbox) {
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -42,7 +42,15 @@
         outbox: &mut FlowOutbox,
     ) {
         match message {
-            CarryMessage::Hello(hello) => self.receive_hello(from, hello, now, outbox),
+            CarryMessage::Hello(hello) => {
+                // The emptied zones come first, so that they are known before the routes.
+                let extension = HelloExtension::decode(payload);
+                let notice = extension.evacuation.as_ref();
+                if self.evacuation.receive_notice(notice, outbox) {
+                    self.schedule_hellos();
+                }
+                self.receive_hello(from, hello, now, outbox);
+            }
             CarryMessage::Owned { flow, load } => {
                 self.members.record_load(from, *load, now);
                 self.record_claim(*flow, from, now);
@@ -207,6 +215,7 @@
     fn build_hello_extension(&self) -> Vec<u8> {
         let extension = HelloExtension {
             store_era: self.store_era.get(),
+            evacuation: self.evacuation.notice(),
         };
         extension.encode()
     }
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -7,6 +7,8 @@
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::carried::StoreEra;
 
+use crate::store_position::StorePosition;
+
 /// An event that is logged and counted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FlowEvent {
@@ -141,6 +143,24 @@
         /// The era that was known before.
         former_era: StoreEra,
     },
+    /// Operators have emptied availability zones, or have taken that back.
+    ZonesEvacuated {
+        /// The zones that are emptied now.
+        zones: Vec<String>,
+        /// The zones that were emptied before.
+        former_zones: Vec<String>,
+        /// Position of the store at which that is known.
+        position: StorePosition,
+        /// Where it is known from.
+        source: RouteSource,
+    },
+    /// A host did not accept a new flow because operators have emptied its zone.
+    KeptAway {
+        /// The flow.
+        flow: FlowKey,
+        /// The balancer that forwarded it, which did not know of the request yet.
+        balancer: Ipv4Addr,
+    },
     /// A datagram was dropped.
     Dropped {
         /// Why it was dropped.
@@ -193,11 +213,15 @@
     FormerFlows,
     /// Returns of the store from a copy.
     StoreRestored,
+    /// Changes of the emptied zones.
+    ZonesEvacuated,
+    /// New flows that a host of an emptied zone did not accept.
+    KeptAway,
 }
 
 impl EventKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::Placed,
         Self::PassedOn,
         Self::Offered,
@@ -214,6 +238,8 @@
         Self::Dropped,
         Self::FormerFlows,
         Self::StoreRestored,
+        Self::ZonesEvacuated,
+        Self::KeptAway,
     ];
 
     /// Returns the name of the counter.
@@ -235,6 +261,8 @@
             Self::Dropped => "hyssopstair.datagram.dropped",
             Self::FormerFlows => "hyssopstair.flow.former_lists",
             Self::StoreRestored => "hyssopstair.store.restores",
+            Self::ZonesEvacuated => "hyssopstair.zones.changes",
+            Self::KeptAway => "hyssopstair.flow.kept_away",
         }
     }
 
@@ -257,6 +285,8 @@
             Self::Dropped => "Datagrams dropped",
             Self::FormerFlows => "Lists of flows that a former process had saved",
             Self::StoreRestored => "Returns of the store from a copy",
+            Self::ZonesEvacuated => "Changes of the emptied availability zones",
+            Self::KeptAway => "New flows that a host of an emptied zone did not accept",
         }
     }
 }
@@ -281,6 +311,8 @@
             Self::Dropped { .. } => EventKind::Dropped,
             Self::FormerFlows { .. } => EventKind::FormerFlows,
             Self::StoreRestored { .. } => EventKind::StoreRestored,
+            Self::ZonesEvacuated { .. } => EventKind::ZonesEvacuated,
+            Self::KeptAway { .. } => EventKind::KeptAway,
         }
     }
 }
@@ -303,6 +335,8 @@
     NoHost,
     /// All hosts that were asked are at capacity or draining.
     NoCapacity,
+    /// All hosts that the flow might be offered to are in emptied availability zones.
+    ZoneEvacuated,
 }
 
 /// Why an open flow was reset.
--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -27,6 +27,7 @@
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::evacuation::EvacuationReplica;
 use crate::event::BreakReason;
 use crate::event::FlowEvent;
 use crate::host::load::LoadMeter;
@@ -76,6 +77,7 @@
     identity: HostIdentity,
     created_at: MonotonicTime,
     routes: RouteReplica,
+    evacuation: EvacuationReplica,
     members: MemberTable,
     /// Addresses of balancers that hellos are sent to, ascending.
     contacts: Vec<Ipv4Addr>,
@@ -99,6 +101,7 @@
             identity,
             created_at: now,
             routes: RouteReplica::default(),
+            evacuation: EvacuationReplica::default(),
             members: MemberTable::default(),
             contacts: Vec::new(),
             flows: FlowTable::default(),
--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -39,6 +39,8 @@
     Queue(u16),
     /// The server must not get the flow.
     Reject,
+    /// Operators have emptied the zone of the server.
+    KeepAway,
 }
 
 impl FlowHost {
@@ -65,6 +67,13 @@
         let verdict = self.evaluate_opening(header, &flow, now);
         let mut next_header = header.clone();
         match verdict {
+            OpeningVerdict::KeepAway => {
+                outbox.record_event(FlowEvent::KeptAway {
+                    flow,
+                    balancer: header.balancer,
+                });
+                self.forward_to_next_host(next_header, packet, now, outbox);
+            }
             OpeningVerdict::Accept => self.accept_flow(header, packet, now, outbox),
             OpeningVerdict::Queue(_) if header.purpose == ForwardPurpose::OpenHere => {
                 self.accept_flow(header, packet, now, outbox);
@@ -129,6 +138,9 @@
         if self.server.state() != ServerState::Ready || self.is_stopping {
             return OpeningVerdict::Reject;
         }
+        if self.evacuation.contains(&self.identity.zone) {
+            return OpeningVerdict::KeepAway;
+        }
         // If the balancer has newer routes, its decision is not checked: this host may not
         // have received the route yet.
         if self.routes.table().version() >= header.routes && self.routes.table().version() > 0 {
--- a/crates/flows/src/host/peers.rs
+++ b/crates/flows/src/host/peers.rs
@@ -13,6 +13,7 @@
 use hyssopstair_wire::carried::HostHello;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::evacuation::EvacuatedZones;
 use crate::event::FlowEvent;
 use crate::event::RouteSource;
 use crate::host::FlowHost;
@@ -45,8 +46,10 @@
                 self.answer_questions(from, questions, now, outbox);
             }
             CarryMessage::Hello(hello) => {
-                self.receive_hello(from, hello, now, outbox);
                 let extension = HelloExtension::decode(payload);
+                let notice = extension.evacuation.as_ref();
+                self.evacuation.receive_notice(notice, outbox);
+                self.receive_hello(from, hello, now, outbox);
                 self.record_store_era(extension.store_era, outbox);
             }
             CarryMessage::Flows { owner, flows } if *owner == self.identity.address => {
@@ -84,6 +87,18 @@
         self.routes.install(routes, RouteSource::Store, outbox);
     }
 
+    /// Installs the emptied zones that were read from the store if they are newer than those
+    /// in force.
+    pub fn set_evacuation(&mut self, evacuated: EvacuatedZones, outbox: &mut FlowOutbox) {
+        self.evacuation
+            .install(evacuated, RouteSource::Store, outbox);
+    }
+
+    /// Returns the names of the emptied zones, ascending.
+    pub fn evacuated_zones(&self) -> &[String] {
+        self.evacuation.zones()
+    }
+
     /// Adds addresses at which there may be balancers, so that hellos are sent to them.
     pub fn add_contacts(&mut self, contacts: &[Ipv4Addr]) {
         for contact in contacts {
@@ -121,9 +136,23 @@
     pub(super) fn send_hellos(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         self.next_hello_at = now + self.members.timeouts().hello_interval;
         self.hello_number += 1;
+        let extension = self.build_hello_extension();
         for contact in &self.contacts {
             let hello = self.build_hello(!self.members.has_balancer(*contact), now);
-            outbox.enqueue_message(*contact, &CarryMessage::Hello(hello), &[]);
+            outbox.enqueue_message(*contact, &CarryMessage::Hello(hello), &extension);
+        }
+    }
+
+    /// Returns the fields that follow a hello. The era of the store is left to balancers, which
+    /// call it.
+    fn build_hello_extension(&self) -> Vec<u8> {
+        match self.evacuation.notice() {
+            Some(notice) => HelloExtension {
+                store_era: None,
+                evacuation: Some(notice),
+            }
+            .encode(),
+            None => Vec::new(),
         }
     }
 
@@ -164,7 +193,8 @@
             self.add_contacts(&[from]);
             if outcome == HelloOutcome::Joined {
                 let answer = CarryMessage::Hello(self.build_hello(false, now));
-                outbox.enqueue_message(from, &answer, &[]);
+                let extension = self.build_hello_extension();
+                outbox.enqueue_message(from, &answer, &extension);
             }
         }
         self.routes.request_newer(from, hello.routes, now, outbox);
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`outbox`].
 
 pub mod balancer;
+pub mod evacuation;
 pub mod event;
 pub mod heartbeat;
 pub mod holding;
--- a/crates/flows/src/placing.rs
+++ b/crates/flows/src/placing.rs
@@ -45,21 +45,41 @@
 /// Additional cost of a host in another availability zone, in median answer times.
 const OTHER_ZONE_COST: f64 = 0.05;
 
-/// Returns the hosts of `service` that a new flow may be offered to, without those in
-/// `excluded`. Of the usable hosts, the [`MAX_CANDIDATES`] that rank first for
-/// `flow_hash` are returned, in the order of their expected cost, the lowest first.
+/// A new flow for which hosts are selected.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementRequest<'a> {
+    /// Name of the service that the flow is for.
+    pub service: &'a str,
+    /// Availability zone of the balancer.
+    pub zone: &'a str,
+    /// Hash of the flow.
+    pub flow_hash: u64,
+    /// Hosts that the flow must not be offered to again.
+    pub excluded: &'a [Ipv4Addr],
+    /// Names of the emptied zones, ascending.
+    pub evacuated_zones: &'a [String],
+}
+
+impl PlacementRequest<'_> {
+    /// Returns whether the flow may be offered to a host at all.
+    fn allows(&self, record: &HostRecord) -> bool {
+        let peer = &record.peer;
+        record.service == self.service
+            && !self.excluded.contains(&peer.address)
+            && self.evacuated_zones.binary_search(&peer.zone).is_err()
+    }
+}
+
+/// Returns the hosts that a new flow may be offered to. Of the usable hosts, the
+/// [`MAX_CANDIDATES`] that rank first for the flow are returned, in the order of their
+/// expected cost, the lowest first.
 pub fn order_candidates(
     hosts: &[HostRecord],
-    service: &str,
-    zone: &str,
-    flow_hash: u64,
-    excluded: &[Ipv4Addr],
+    request: &PlacementRequest<'_>,
     timeouts: &MemberTimeouts,
     now: MonotonicTime,
 ) -> CandidateList {
-    let is_candidate = |record: &&HostRecord| {
-        record.service == service && !excluded.contains(&record.peer.address)
-    };
+    let is_candidate = |record: &&HostRecord| request.allows(record);
     let usable: Vec<&HostRecord> = hosts
         .iter()
         .filter(is_candidate)
@@ -76,7 +96,7 @@
         usable
     };
     let mut addresses: Vec<Ipv4Addr> = usable.iter().map(|record| record.peer.address).collect();
-    rank_hosts(flow_hash, &mut addresses);
+    rank_hosts(request.flow_hash, &mut addresses);
     addresses.truncate(MAX_CANDIDATES);
     let median_micros = median_answer_micros(&usable);
     let mut scored: Vec<(f64, Ipv4Addr)> = usable
@@ -84,7 +104,7 @@
         .filter(|record| addresses.contains(&record.peer.address))
         .map(|record| {
             (
-                expected_cost(record, zone, median_micros),
+                expected_cost(record, request.zone, median_micros),
                 record.peer.address,
             )
         })
--- a/crates/flows/src/store_position.rs
+++ b/crates/flows/src/store_position.rs
@@ -32,6 +32,12 @@
 }
 
 impl StorePosition {
+    /// Returns whether this position is in a later era than `other`, or at a higher revision
+    /// of the same.
+    pub fn is_after(self, other: Self) -> bool {
+        (self.era, self.revision) > (other.era, other.revision)
+    }
+
     /// Judges a response of the store at `other` that was requested from this position. A
     /// lower revision shows that the store has come back from a copy, even if the store
     /// reports no eras.
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -24,6 +24,7 @@
 use hyssopstair_flows::outbox::Destination;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_flows::packet::RawPacket;
+use hyssopstair_flows::placing::PlacementRequest;
 use hyssopstair_flows::placing::order_candidates;
 use hyssopstair_flows::ranking::hash_flow;
 use hyssopstair_flows::ranking::rank_hosts;
@@ -849,7 +850,14 @@
                 let service = fixture::SERVICE;
                 let hash = hash_flow(&flow);
                 let all = flow_balancer.members().hosts();
-                let order = order_candidates(all, service, "utr-a", hash, &[], &timeouts, now);
+                let request = PlacementRequest {
+                    service,
+                    zone: "utr-a",
+                    flow_hash: hash,
+                    excluded: &[],
+                    evacuated_zones: &[],
+                };
+                let order = order_candidates(all, &request, &timeouts, now);
                 order.first().copied()
             }
             PlacingPolicy::Product | PlacingPolicy::PlainHash => hosts.first().copied(),
--- a/crates/flows/tests/saved_flows.rs
+++ b/crates/flows/tests/saved_flows.rs
@@ -252,6 +252,7 @@
         let extension = era.map(|store_era| {
             HelloExtension {
                 store_era: Some(store_era),
+                ..Default::default()
             }
             .encode()
         });
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 
 use hyssopstair_flows::balancer::SaveRequest;
+use hyssopstair_flows::evacuation::EvacuatedZones;
 use hyssopstair_flows::heartbeat::ServerHeartbeat;
 use hyssopstair_flows::host::CheckResult;
 use hyssopstair_flows::members::BalancerRecord;
@@ -26,6 +27,9 @@
     /// Installs a route table that was read from the store, if it is newer than the one in
     /// force.
     SetRoutes(RouteTable),
+    /// Installs the emptied zones that were read from the store, if they are newer than those
+    /// in force.
+    SetEvacuation(EvacuatedZones),
     /// Adds addresses at which there may be balancers.
     AddContacts(Vec<Ipv4Addr>),
     /// Handles a heartbeat of the server beside the host.
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -293,6 +293,24 @@
             "the store came back from a copy",
             json!({ "era": era, "former_era": former_era }),
         ),
+        FlowEvent::ZonesEvacuated {
+            zones,
+            former_zones,
+            position,
+            source,
+        } => (
+            "zones",
+            "operators have emptied other zones",
+            json!({
+                "zones": zones, "former_zones": former_zones, "store_era": position.era,
+                "store_revision": position.revision, "source": format!("{source:?}"),
+            }),
+        ),
+        FlowEvent::KeptAway { flow, balancer } => (
+            "host",
+            "kept a new flow away from the emptied zone",
+            json!({ "flow": format_flow(flow), "balancer": balancer }),
+        ),
         FlowEvent::Dropped { reason } => (
             "process",
             "dropped a datagram",
--- a/crates/hyssopstaird/src/carry/metrics.rs
+++ b/crates/hyssopstaird/src/carry/metrics.rs
@@ -31,6 +31,8 @@
     pub peer_count: IntGauge,
     /// Version of the routes in force.
     pub routes_version: IntGauge,
+    /// Number of emptied availability zones.
+    pub evacuated_zones: IntGauge,
     /// The newest era that the store has reported.
     pub store_era: IntGauge,
     /// Revision of the store when it last sent the configuration.
@@ -79,6 +81,10 @@
                 "hyssopstair_routes_version",
                 "Version of the routes in force",
             )?,
+            evacuated_zones: register_gauge(
+                "hyssopstair_zones_evacuated",
+                "Availability zones that operators have emptied",
+            )?,
             store_era: register_gauge(
                 "hyssopstair_store_era",
                 "Newest era that the store has reported",
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use hyssopstair_flows::balancer::FlowBalancer;
+use hyssopstair_flows::evacuation::EvacuatedZones;
 use hyssopstair_flows::host::FlowHost;
 use hyssopstair_flows::members::BalancerRecord;
 use hyssopstair_flows::outbox::FlowOutbox;
@@ -81,6 +82,22 @@
         }
     }
 
+    /// Installs the emptied zones if they are newer than those in force.
+    pub fn set_evacuation(&mut self, evacuated: EvacuatedZones, outbox: &mut FlowOutbox) {
+        match self {
+            Self::Balancer(balancer) => balancer.set_evacuation(evacuated, outbox),
+            Self::Host(host) => host.set_evacuation(evacuated, outbox),
+        }
+    }
+
+    /// Returns the names of the emptied zones, ascending.
+    pub fn evacuated_zones(&self) -> &[String] {
+        match self {
+            Self::Balancer(balancer) => balancer.evacuated_zones(),
+            Self::Host(host) => host.evacuated_zones(),
+        }
+    }
+
     /// Records the newest era of the store that the process knows from the store itself.
     pub fn record_store_era(&mut self, era: Option<StoreEra>, outbox: &mut FlowOutbox) {
         match self {
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -169,6 +169,7 @@
             command_sender: self.command_sender.clone(),
             status: self.status.clone(),
             eras: self.eras.clone(),
+            reads_evacuations: self.settings.evacuation,
         };
         match self.settings.role {
             CarryRole::Balancer => {
@@ -296,6 +297,9 @@
         self.metrics
             .routes_version
             .set(self.forwarder.routes_version() as i64);
+        self.metrics
+            .evacuated_zones
+            .set(self.forwarder.evacuated_zones().len() as i64);
         let era = self.eras.reported();
         self.forwarder.record_store_era(era, &mut self.outbox);
         self.metrics.store_era.set(era.unwrap_or(0) as i64);
@@ -347,6 +351,9 @@
         let now = self.clock.now();
         match command {
             CarryCommand::SetRoutes(routes) => self.forwarder.set_routes(routes, &mut self.outbox),
+            CarryCommand::SetEvacuation(evacuated) => {
+                self.forwarder.set_evacuation(evacuated, &mut self.outbox);
+            }
             CarryCommand::AddContacts(contacts) => self.forwarder.add_contacts(&contacts),
             CarryCommand::Heartbeat {
                 heartbeat,
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -64,6 +64,8 @@
     pub status: ProcessStatus,
     /// Eras of the store, shared by all tasks.
     pub eras: StoreEras,
+    /// Whether operators may empty availability zones.
+    pub reads_evacuations: bool,
 }
 
 impl StoreTask {
@@ -109,7 +111,10 @@
                 let _ = self.list_balancers(&mut connection).await;
             }
             if self.status.routes_version() == 0 {
-                let _ = self.read_configuration(&mut connection).await;
+                // The emptied zones come first, so that they are known before the routes.
+                if self.read_evacuation(&mut connection).await.is_ok() {
+                    let _ = self.read_configuration(&mut connection).await;
+                }
             }
         }
     }
--- a/crates/rules/src/carry_settings.rs
+++ b/crates/rules/src/carry_settings.rs
@@ -53,6 +53,9 @@
     pub max_flow_seconds: f64,
     /// Time from the stop signal to the end of the process, in seconds.
     pub grace_seconds: f64,
+    /// Whether operators may empty availability zones.
+    #[serde(default)]
+    pub evacuation: bool,
     /// The backend server; required for a host.
     #[serde(default)]
     pub server: Option<ServerSettings>,
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -148,25 +148,53 @@
     pub role: HelloRole,
 }
 
-/// Fields that follow a hello of a balancer. A process that does not know them ignores the
-/// bytes after the message, and one that misses them uses the defaults, so that processes
-/// of different builds understand each other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+/// The availability zones that operators have emptied, at a position of the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationNotice {
+    /// The era of the position; 0 if the store reports none.
+    pub era: StoreEra,
+    /// The revision of the position, within the era.
+    pub revision: u64,
+    /// Names of the zones, at most [`MAX_EVACUATED_ZONES`], ascending.
+    pub zones: Vec<String>,
+}
+
+/// Maximum number of emptied zones, so that a hello that names them fits into a datagram.
+pub const MAX_EVACUATED_ZONES: usize = 16;
+
+/// Maximum length of the name of an emptied zone, in bytes.
+pub const MAX_ZONE_NAME_BYTES: usize = 63;
+
+/// Fields that follow a hello. A process that does not know them ignores the bytes after the
+/// message, and one that misses them uses the defaults, so that processes of different builds
+/// understand each other.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct HelloExtension {
     /// The newest era of the store that the sender knows, if the store reports any.
     pub store_era: Option<StoreEra>,
+    /// The emptied zones, if the sender knows them.
+    pub evacuation: Option<EvacuationNotice>,
 }
 
 impl HelloExtension {
-    /// Returns the encoded fields.
+    /// Returns the encoded fields, one after the other.
     pub fn encode(&self) -> Vec<u8> {
         // Encoding into a vector cannot fail; if it did, the receiver would use the defaults.
-        postcard::to_stdvec(self).unwrap_or_default()
+        postcard::to_stdvec(&(self.store_era, &self.evacuation)).unwrap_or_default()
     }
 
-    /// Decodes the bytes after a hello. Missing or malformed ones yield the defaults.
+    /// Decodes the bytes after a hello. A field that is missing or malformed, and those that
+    /// follow it, have their defaults.
     pub fn decode(bytes: &[u8]) -> Self {
-        postcard::take_from_bytes(bytes).map_or_else(|_| Self::default(), |(fields, _)| fields)
+        let mut extension = Self::default();
+        let Ok((store_era, rest)) = postcard::take_from_bytes(bytes) else {
+            return extension;
+        };
+        extension.store_era = store_era;
+        if let Ok((evacuation, _)) = postcard::take_from_bytes(rest) {
+            extension.evacuation = evacuation;
+        }
+        extension
     }
 }
 
