Let a rule empty an availability zone in the own protocol

The rule file could withdraw a service or drain one host, but a zone only service by service with weights, whose previous values are then lost. Daemons of earlier builds reject a file with this rule and keep the version that they have.

--- a/crates/hyssopstair/src/commands/check.rs
+++ b/crates/hyssopstair/src/commands/check.rs
@@ -29,10 +29,11 @@
     let edited = split_version_line(&read_rule_file(&args.file)?);
     let rules = parse_rules(&args.file, &edited)?;
     shell.print_line(format!(
-        "{}: {} services, {} drained hosts, {} keys",
+        "{}: {} services, {} drained hosts, {} evacuated zones, {} keys",
         args.file.display(),
         rules.services.len(),
         rules.drained_hosts.len(),
+        rules.evacuated_zones.len(),
         rules.keys.len()
     ));
     Ok(())
--- a/crates/hyssopstair/src/ops/explain.rs
+++ b/crates/hyssopstair/src/ops/explain.rs
@@ -119,7 +119,9 @@
             return None;
         }
         let zone_weight = service.weight_in_zone(zone);
-        let exclusion_reason = find_exclusion_reason(rules, service, entry, zone_weight);
+        let exclusion_reason = find_exclusion_reason(rules, service, entry, zone_weight).or(rules
+            .is_evacuated(zone)
+            .then_some("its zone is evacuated by a rule"));
         let weight = match exclusion_reason {
             Some(_) => 0,
             None => zone_weight.saturating_mul(weight.max(1)),
@@ -186,6 +188,7 @@
             (Some("drain"), Some(word)) => {
                 hosts.iter().any(|host| word == host.address.to_string())
             }
+            (Some("evacuate"), Some(zone)) => hosts.iter().any(|host| host.zone == zone),
             _ => false,
         }
     };
--- a/crates/hyssopstaird/src/control/node.rs
+++ b/crates/hyssopstaird/src/control/node.rs
@@ -344,7 +344,7 @@
             roster.members(),
         );
         let view = match &self.service_name {
-            Some(name) => view.with_host(name, self.address),
+            Some(name) => view.with_host(name, &self.zone_name, self.address),
             None => view,
         };
         self.view.store(Arc::new(view));
--- a/crates/routing/examples/routing_cost.rs
+++ b/crates/routing/examples/routing_cost.rs
@@ -236,10 +236,11 @@
     for services in [2, 870, 8_700] {
         let name = format!("s{}", services / 2);
         let host = scattered_address(1);
-        let view = RoutingView::build(1, rules(services), &secret(), &[]).with_host(&name, host);
+        let view =
+            RoutingView::build(1, rules(services), &secret(), &[]).with_host(&name, "z", host);
         let find_nanos = measure_nanos(PACKETS, |_| {
             let name = black_box(name.as_str());
-            black_box(HostRule::find(black_box(&view.rules), name, host));
+            black_box(HostRule::find(black_box(&view.rules), name, "z", host));
         });
         let read_nanos = measure_nanos(PACKETS, |_| {
             black_box(black_box(&view).own_rule);
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -54,14 +54,20 @@
 }
 
 impl HostRule {
-    /// Returns the rules for the host at address `host` of the named service, or
-    /// `None` if the rules do not define the service.
-    pub fn find(rules: &RuleSet, service_name: &str, host: SocketAddrV4) -> Option<Self> {
+    /// Returns the rules for the host at address `host` of the named service in the named
+    /// zone, or `None` if the rules do not define the service.
+    pub fn find(
+        rules: &RuleSet,
+        service_name: &str,
+        zone_name: &str,
+        host: SocketAddrV4,
+    ) -> Option<Self> {
         let service = rules.find_service_by_name(service_name)?;
+        let zone = rules.find_zone_id(zone_name).unwrap_or(0);
         Some(Self {
             service: service.id,
             connections: service.connections,
-            accepts_new_flows: rules.accepts_new_flows(service.id, host),
+            accepts_new_flows: rules.accepts_new_flows(service.id, host, zone),
         })
     }
 }
@@ -112,9 +118,9 @@
     }
 
     /// Returns the view with [`Self::own_rule`] set to the rules for the host at
-    /// `address`.
-    pub fn with_host(self, service_name: &str, address: SocketAddrV4) -> Self {
-        let own_rule = HostRule::find(&self.rules, service_name, address);
+    /// `address` in the named zone.
+    pub fn with_host(self, service_name: &str, zone_name: &str, address: SocketAddrV4) -> Self {
+        let own_rule = HostRule::find(&self.rules, service_name, zone_name, address);
         Self { own_rule, ..self }
     }
 
@@ -234,8 +240,8 @@
     };
     // A suspect did not answer its probes, so it gets no new flows. Its open flows
     // stay assigned to it until it answers or is declared gone.
-    if entry.state != MemberState::Alive || !rules.accepts_new_flows(service, entry.process.address)
-    {
+    let address = entry.process.address;
+    if entry.state != MemberState::Alive || !rules.accepts_new_flows(service, address, zone) {
         return None;
     }
     let zone_weight = rules.find_service(service)?.weight_in_zone(zone);
--- a/crates/routing/tests/host_rule.rs
+++ b/crates/routing/tests/host_rule.rs
@@ -28,7 +28,7 @@
         ("unknown", "10.1.0.1:7000"),
     ] {
         let view = RoutingView::build(1, rules.clone(), &fixture::secret(), &[]);
-        let view = view.with_host(name, fixture::address(host));
+        let view = view.with_host(name, "utr-a", fixture::address(host));
         writeln!(text, "{name} {host}: {:?}", view.own_rule).unwrap();
     }
     expect![[r#"
--- a/crates/rules/src/builder.rs
+++ b/crates/rules/src/builder.rs
@@ -50,6 +50,7 @@
     services: Vec<DeclaredService<'a>>,
     zones: Vec<ZoneRule>,
     drained_hosts: Vec<SocketAddrV4>,
+    evacuated_zones: Vec<u8>,
     keys: Vec<KeyNumber>,
     errors: Vec<RuleError>,
 }
@@ -193,6 +194,10 @@
             }
             Rule::Withdraw { service } => self.find_service(line, &service)?.is_withdrawn = true,
             Rule::Drain { host } => self.drained_hosts.push(host),
+            Rule::Evacuate { zone } => {
+                let zone = self.find_zone(line, &zone, 1)?;
+                self.evacuated_zones.push(zone);
+            }
             Rule::Key { number } => self.keys.push(number),
         }
         Ok(())
@@ -205,16 +210,22 @@
         zone: &str,
         weight: u16,
     ) -> Result<(), RuleError> {
-        let Some(zone_rule) = self.zones.iter().find(|other| other.name == zone) else {
-            let names = self.zones.iter().map(|other| other.name.as_str());
-            return Err(undeclared_error(line, "zone", zone, names, 2));
-        };
-        let zone = zone_rule.id;
+        let zone = self.find_zone(line, zone, 2)?;
         let service = self.add_unique_rule(line, service, UniqueRule::Weight(zone))?;
         service.zone_weights.push(ZoneWeight { zone, weight });
         Ok(())
     }
 
+    /// Returns the number of a zone. `index` is the position of its name among the words of
+    /// the line.
+    fn find_zone(&self, line: &RuleLine<'_>, name: &str, index: usize) -> Result<u8, RuleError> {
+        let zone = self.zones.iter().find(|other| other.name == name);
+        zone.map(|zone| zone.id).ok_or_else(|| {
+            let names = self.zones.iter().map(|other| other.name.as_str());
+            undeclared_error(line, "zone", name, names, index)
+        })
+    }
+
     fn find_service_index(&self, line: &RuleLine<'_>, name: &str) -> Result<usize, RuleError> {
         self.services
             .binary_search_by(|service| service.rule.name.as_str().cmp(name))
@@ -297,6 +308,7 @@
             services,
             self.zones,
             self.drained_hosts,
+            self.evacuated_zones,
             self.keys,
         ))
     }
--- a/crates/rules/src/rule.rs
+++ b/crates/rules/src/rule.rs
@@ -11,6 +11,7 @@
 //! | `stream SERVICE PREFIX` | paths with long-lived responses, which need no slot and have no deadline |
 //! | `withdraw SERVICE` | no host accepts new flows to the service |
 //! | `drain IP:PORT` | the host at this inner address accepts no new flows |
+//! | `evacuate ZONE` | no host in the zone accepts new flows |
 //! | `key N` | declares a valid route key; the one with the highest number seals new tokens |
 
 use std::net::SocketAddrV4;
@@ -96,6 +97,11 @@
         /// The inner address of the host.
         host: SocketAddrV4,
     },
+    /// Stops new flows to all hosts of an availability zone.
+    Evacuate {
+        /// The name of the zone.
+        zone: String,
+    },
     /// Makes a route key valid.
     Key {
         /// The number of the key.
@@ -104,7 +110,7 @@
 }
 
 /// The first word of each rule.
-const RULE_KEYWORDS: [&str; 10] = [
+const RULE_KEYWORDS: [&str; 11] = [
     "service",
     "zone",
     "weight",
@@ -114,6 +120,7 @@
     "stream",
     "withdraw",
     "drain",
+    "evacuate",
     "key",
 ];
 
@@ -151,6 +158,9 @@
             "drain" => Ok(Self::Drain {
                 host: line.expect_value("an address of the form IP:PORT")?,
             }),
+            "evacuate" => Ok(Self::Evacuate {
+                zone: line.expect_value("the name of an availability zone")?,
+            }),
             "key" => Ok(Self::Key {
                 number: KeyNumber(line.expect_value("a key number from 0 to 255")?),
             }),
--- a/crates/rules/src/rule_set.rs
+++ b/crates/rules/src/rule_set.rs
@@ -35,6 +35,8 @@
     pub zones: Vec<ZoneRule>,
     /// Addresses of the hosts that accept no new flows, sorted.
     pub drained_hosts: Vec<SocketAddrV4>,
+    /// Numbers of the zones whose hosts accept no new flows, sorted.
+    pub evacuated_zones: Vec<u8>,
     /// Numbers of the valid route keys, sorted. The last one seals new tokens.
     pub keys: Vec<KeyNumber>,
     services_by_name: Vec<IndexEntry<String>>,
@@ -56,12 +58,15 @@
         mut services: Vec<ServiceRule>,
         mut zones: Vec<ZoneRule>,
         mut drained_hosts: Vec<SocketAddrV4>,
+        mut evacuated_zones: Vec<u8>,
         mut keys: Vec<KeyNumber>,
     ) -> Self {
         services.sort_by_key(|service| service.id);
         zones.sort_by(|left, right| left.name.cmp(&right.name));
         drained_hosts.sort_unstable();
         drained_hosts.dedup();
+        evacuated_zones.sort_unstable();
+        evacuated_zones.dedup();
         keys.sort_unstable();
         keys.dedup();
         Self {
@@ -70,6 +75,7 @@
             services,
             zones,
             drained_hosts,
+            evacuated_zones,
             keys,
         }
     }
@@ -115,13 +121,18 @@
         self.drained_hosts.binary_search(&host).is_ok()
     }
 
-    /// Returns whether the rules allow the host at this inner address to accept new
-    /// flows to a service.
-    pub fn accepts_new_flows(&self, service: ServiceId, host: SocketAddrV4) -> bool {
+    /// Returns whether an evacuate rule applies to the zone with this number.
+    pub fn is_evacuated(&self, zone: u8) -> bool {
+        self.evacuated_zones.binary_search(&zone).is_ok()
+    }
+
+    /// Returns whether the rules allow the host at this inner address, in the zone with
+    /// this number, to accept new flows to a service.
+    pub fn accepts_new_flows(&self, service: ServiceId, host: SocketAddrV4, zone: u8) -> bool {
         let is_withdrawn = self
             .find_service(service)
             .is_some_and(|rule| rule.is_withdrawn);
-        !is_withdrawn && !self.is_drained(host)
+        !is_withdrawn && !self.is_drained(host) && !self.is_evacuated(zone)
     }
 
     /// Returns the number of the key that seals new tokens, or `None` if the file
--- a/crates/rules/tests/rule_errors.rs
+++ b/crates/rules/tests/rule_errors.rs
@@ -25,7 +25,7 @@
         "servce specdesk id 3 address 127.1.0.12:4433  # A\nblock all  # A\nlimit leerplain slots 1 connections 1 queue 1  # A\nweight leerplein utr-b 5  # A\n",
         expect![[r#"
             line 5, column 1: unknown rule "servce"; did you mean "service"?
-            line 6, column 1: unknown rule "block"; the known rules are service, zone, weight, limit, deadline, idempotent, stream, withdraw, drain, key
+            line 6, column 1: unknown rule "block"; the known rules are service, zone, weight, limit, deadline, idempotent, stream, withdraw, drain, evacuate, key
             line 7, column 7: service "leerplain" is not declared; did you mean "leerplein"? Otherwise add a service rule
             line 8, column 18: zone "utr-b" is not declared; did you mean "utr-a"? Otherwise add a zone rule
         "#]],
--- a/crates/rules/tests/rule_lookup.rs
+++ b/crates/rules/tests/rule_lookup.rs
@@ -43,9 +43,9 @@
     .expect("valid rules");
     let host = |text: &str| text.parse().expect("address");
     let results = [
-        rules.accepts_new_flows(ServiceId(1), host("127.1.2.1:7000")),
-        rules.accepts_new_flows(ServiceId(2), host("127.1.3.1:7000")),
-        rules.accepts_new_flows(ServiceId(2), host("127.1.3.2:7000")),
+        rules.accepts_new_flows(ServiceId(1), host("127.1.2.1:7000"), 1),
+        rules.accepts_new_flows(ServiceId(2), host("127.1.3.1:7000"), 1),
+        rules.accepts_new_flows(ServiceId(2), host("127.1.3.2:7000"), 1),
     ];
     expect![[r#"
         [
@@ -56,3 +56,13 @@
     "#]]
     .assert_debug_eq(&results);
 }
+
+#[test]
+fn hosts_of_an_evacuated_zone_accept_no_new_flows() {
+    let rules = RuleSet::parse(&with_lines("evacuate ame-b  # A. Visser\n")).expect("valid rules");
+    let host = "127.1.2.1:7000".parse().expect("address");
+    let results = [1, 2].map(|zone| rules.accepts_new_flows(ServiceId(1), host, zone));
+    assert_eq!(results, [true, false]);
+    let errors = RuleSet::parse(&with_lines("evacuate ame-c  # A. Visser\n")).expect_err("invalid");
+    expect![[r#"zone "ame-c" is not declared"#]].assert_eq(&errors[0].message);
+}
