Give a cold server no more new flows than the configuration says that it bears

Cause: the time for which a server is cold was decoded and used nowhere, and what a cold server bears was not read. The host beside it counts the opening packets of the last second, from whichever balancer they come, and passes on what is more (docs/design/cold-servers.md). The terms follow the encoded route table, so that builds before and after understand each other's tables. Services without a figure have no limit, as before.

--- a/crates/flows/examples/carry_cost.rs
+++ b/crates/flows/examples/carry_cost.rs
@@ -98,6 +98,7 @@
             service: "one".to_owned(),
             weight: 1,
         }],
+        target_latency_millis: 0,
     };
     balancer.set_routes(RouteTable::new(1, 15_000, vec![route], Vec::new()), outbox);
     for number in 0..hosts {
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -161,6 +161,12 @@
         /// The balancer that forwarded it, which did not know of the request yet.
         balancer: Ipv4Addr,
     },
+    /// A host did not accept a new flow because its server is cold and has got as many as it
+    /// bears.
+    ColdLimited {
+        /// The flow.
+        flow: FlowKey,
+    },
     /// A datagram was dropped.
     Dropped {
         /// Why it was dropped.
@@ -217,11 +223,13 @@
     ZonesEvacuated,
     /// New flows that a host of an emptied zone did not accept.
     KeptAway,
+    /// New flows that a host did not accept because its server is cold.
+    ColdLimited,
 }
 
 impl EventKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Placed,
         Self::PassedOn,
         Self::Offered,
@@ -240,6 +248,7 @@
         Self::StoreRestored,
         Self::ZonesEvacuated,
         Self::KeptAway,
+        Self::ColdLimited,
     ];
 
     /// Returns the name of the counter.
@@ -263,6 +272,7 @@
             Self::StoreRestored => "hyssopstair.store.restores",
             Self::ZonesEvacuated => "hyssopstair.zones.changes",
             Self::KeptAway => "hyssopstair.flow.kept_away",
+            Self::ColdLimited => "hyssopstair.flow.cold_limited",
         }
     }
 
@@ -287,6 +297,7 @@
             Self::StoreRestored => "Returns of the store from a copy",
             Self::ZonesEvacuated => "Changes of the emptied availability zones",
             Self::KeptAway => "New flows that a host of an emptied zone did not accept",
+            Self::ColdLimited => "New flows that a host with a cold server did not accept",
         }
     }
 }
@@ -313,6 +324,7 @@
             Self::StoreRestored { .. } => EventKind::StoreRestored,
             Self::ZonesEvacuated { .. } => EventKind::ZonesEvacuated,
             Self::KeptAway { .. } => EventKind::KeptAway,
+            Self::ColdLimited { .. } => EventKind::ColdLimited,
         }
     }
 }
--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -9,6 +9,7 @@
 //! relearns it: from packets of the server, from balancers, and by delivering packets
 //! of unknown flows to the server, which returns those that it does not accept.
 
+mod cold;
 mod load;
 mod opening;
 mod peers;
@@ -30,6 +31,7 @@
 use crate::evacuation::EvacuationReplica;
 use crate::event::BreakReason;
 use crate::event::FlowEvent;
+use crate::host::cold::ColdLimiter;
 use crate::host::load::LoadMeter;
 use crate::host::records::FlowPhase;
 use crate::host::records::FlowRecord;
@@ -83,6 +85,7 @@
     contacts: Vec<Ipv4Addr>,
     flows: FlowTable<FlowRecord>,
     load: LoadMeter,
+    cold: ColdLimiter,
     server: ServerMonitor,
     saved: SavedFlowState,
     /// Whether the server may hold flows that are missing from the table.
@@ -106,6 +109,7 @@
             contacts: Vec::new(),
             flows: FlowTable::default(),
             load: LoadMeter::new(now),
+            cold: ColdLimiter::new(now),
             server: ServerMonitor::new(now),
             saved: SavedFlowState::new(now),
             // The server may have been started before this process and hold flows.
--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -41,6 +41,8 @@
     Reject,
     /// Operators have emptied the zone of the server.
     KeepAway,
+    /// The server is cold, and has got as many new flows as it bears.
+    Cold,
 }
 
 impl FlowHost {
@@ -67,6 +69,10 @@
         let verdict = self.evaluate_opening(header, &flow, now);
         let mut next_header = header.clone();
         match verdict {
+            OpeningVerdict::Cold => {
+                outbox.record_event(FlowEvent::ColdLimited { flow });
+                self.forward_to_next_host(next_header, packet, now, outbox);
+            }
             OpeningVerdict::KeepAway => {
                 outbox.record_event(FlowEvent::KeptAway {
                     flow,
@@ -130,7 +136,7 @@
 
     /// Decides about a new flow by the state of the server, the routes and the load.
     fn evaluate_opening(
-        &self,
+        &mut self,
         header: &CarryHeader,
         flow: &FlowKey,
         now: MonotonicTime,
@@ -153,6 +159,10 @@
                 return OpeningVerdict::Reject;
             }
         }
+        let cold_terms = self.routes.table().cold_terms(&self.identity.service);
+        if !self.cold.admits(cold_terms, now) {
+            return OpeningVerdict::Cold;
+        }
         let request_count = self.load.in_progress(now);
         if request_count < self.slots() {
             OpeningVerdict::Accept
@@ -179,6 +189,8 @@
             FlowRecord::offered(header.clone(), &packet.header, now),
         );
         self.load.add_offer(now);
+        let cold_terms = self.routes.table().cold_terms(&self.identity.service);
+        self.cold.record_delivery(cold_terms, now);
         outbox.record_event(FlowEvent::Offered {
             flow,
             balancer: header.balancer,
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -171,6 +171,8 @@
             // Balancers stop probing the server.
             self.schedule_hellos();
         }
+        let cold_remaining = Duration::from_millis(u64::from(heartbeat.cold_remaining_millis));
+        self.cold.record_heartbeat(cold_remaining, now);
         self.server.is_ending = false;
         if heartbeat.service != self.identity.service {
             self.set_service(&heartbeat.service, now, outbox);
--- a/crates/flows/src/route_transfer.rs
+++ b/crates/flows/src/route_transfer.rs
@@ -122,7 +122,7 @@
         }
         self.parts[usize::from(part_index)] = Some(bytes.to_vec());
         let complete: Option<Vec<&[u8]>> = self.parts.iter().map(|part| part.as_deref()).collect();
-        let table: RouteTable = postcard::from_bytes(&complete?.concat()).ok()?;
+        let table = RouteTable::decode(&complete?.concat())?;
         *self = Self::default();
         (table.version() == version).then_some(table)
     }
@@ -130,7 +130,7 @@
 
 /// Sends all parts of a route table to a peer.
 fn send_routes(peer: Ipv4Addr, table: &RouteTable, outbox: &mut FlowOutbox) {
-    let Ok(bytes) = postcard::to_stdvec(table) else {
+    let Some(bytes) = table.encode() else {
         return;
     };
     let part_count = bytes.len().div_ceil(ROUTE_PART_BYTES) as u16;
--- a/crates/flows/src/routes.rs
+++ b/crates/flows/src/routes.rs
@@ -43,6 +43,9 @@
     pub priority: u8,
     /// Services that its flows are distributed to.
     pub shares: Vec<ServiceShare>,
+    /// Time within which callers expect an answer, in milliseconds; 0 if not known.
+    #[serde(skip)]
+    pub target_latency_millis: u32,
 }
 
 /// Settings of a service.
@@ -52,6 +55,26 @@
     pub name: String,
     /// Path of its health check.
     pub health_path: String,
+    /// What its servers bear after their start.
+    #[serde(skip)]
+    pub cold: ColdTerms,
+}
+
+/// What the servers of a service bear after their start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ColdTerms {
+    /// Time for which a server is cold after its start, in milliseconds.
+    pub period_millis: u32,
+    /// Number of new flows that a cold server bears per second; 0 if there is no limit.
+    pub flows_per_second: u32,
+}
+
+/// Fields of a table that earlier builds do not know. They follow the encoded table, in the
+/// order of its routes and services.
+#[derive(Debug, Serialize, Deserialize)]
+struct TableTerms {
+    target_latency_millis: Vec<u32>,
+    cold: Vec<ColdTerms>,
 }
 
 /// All routes of one version.
@@ -82,6 +105,34 @@
         }
     }
 
+    /// Returns the encoded table, or `None` if it cannot be encoded.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let terms = TableTerms {
+            target_latency_millis: self
+                .routes
+                .iter()
+                .map(|route| route.target_latency_millis)
+                .collect(),
+            cold: self.services.iter().map(|service| service.cold).collect(),
+        };
+        postcard::to_stdvec(&(self, &terms)).ok()
+    }
+
+    /// Decodes a table, or returns `None` if it is malformed. Fields that an earlier build
+    /// has not encoded have their defaults.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (mut table, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
+        if let Ok(terms) = postcard::from_bytes::<TableTerms>(rest) {
+            for (route, millis) in table.routes.iter_mut().zip(terms.target_latency_millis) {
+                route.target_latency_millis = millis;
+            }
+            for (service, cold) in table.services.iter_mut().zip(terms.cold) {
+                service.cold = cold;
+            }
+        }
+        Some(table)
+    }
+
     /// Returns the version; 0 for the initial, empty table.
     pub fn version(&self) -> u64 {
         self.version
@@ -113,11 +164,24 @@
 
     /// Returns the path of a service's health check, if the service is known.
     pub fn health_path(&self, service: &str) -> Option<&str> {
+        self.service_info(service)
+            .map(|service_info| service_info.health_path.as_str())
+    }
+
+    /// Returns what the servers of a service bear after their start; no limit if the service
+    /// is not known.
+    pub fn cold_terms(&self, service: &str) -> ColdTerms {
+        self.service_info(service)
+            .map(|service_info| service_info.cold)
+            .unwrap_or_default()
+    }
+
+    fn service_info(&self, service: &str) -> Option<&ServiceInfo> {
         let index = self
             .services
             .binary_search_by(|service_info| service_info.name.as_str().cmp(service))
             .ok()?;
-        Some(&self.services[index].health_path)
+        Some(&self.services[index])
     }
 }
 
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -311,6 +311,11 @@
             "kept a new flow away from the emptied zone",
             json!({ "flow": format_flow(flow), "balancer": balancer }),
         ),
+        FlowEvent::ColdLimited { flow } => (
+            "host",
+            "kept a new flow away from the cold server",
+            json!({ "flow": format_flow(flow) }),
+        ),
         FlowEvent::Dropped { reason } => (
             "process",
             "dropped a datagram",
