Do not hand over flows that have ended when a balancer stops

A scratch copy that logged each opening packet showed that all but 4 of 619 retransmitted ones had reached a running balancer and were read up to 0.7 s later (b-3: three copies sent within 0.6 s, read within 70 ms). These balancers were reading the tables of those that stopped; each table held the flows of a minute, nearly all of one request and ended. Ruled out by that log: packets to ended processes, and processes without routes (none was younger than 1.5 s).

A hint remembers that the caller has finished the flow, and is then shared for half a second more.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -56,6 +56,10 @@
 /// tables of its peers before it is ready.
 const TABLE_SYNC_DELAY: Duration = Duration::from_millis(60);
 
+/// Time after the last packet for which a finished flow is still shared with peers. The
+/// caller acknowledges the end of the answer within a round trip.
+const FINISHED_SHARING_PERIOD: Duration = Duration::from_millis(500);
+
 /// Identity and settings of a balancer process.
 #[derive(Debug, Clone)]
 pub struct BalancerIdentity {
@@ -77,6 +81,15 @@
     /// Whether no other host can hold the flow: the owner itself has claimed it,
     /// and the opening packet was offered to no other host.
     is_exclusive: bool,
+    /// Whether the caller has finished or reset the flow.
+    is_finished: bool,
+}
+
+impl FlowHint {
+    /// Returns whether other balancers may still receive packets of the flow.
+    fn is_worth_sharing(&self, now: MonotonicTime) -> bool {
+        !self.is_finished || now.since(self.last_used_at) < FINISHED_SHARING_PERIOD
+    }
 }
 
 /// State and decisions of one balancer.
@@ -278,7 +291,7 @@
         self.is_stopping = true;
         self.send_hellos(now, outbox);
         for peer in self.members.balancer_addresses() {
-            self.send_flow_table(peer, outbox);
+            self.send_flow_table(peer, now, outbox);
         }
     }
 
@@ -294,6 +307,7 @@
             return;
         };
         hint.last_used_at = now;
+        hint.is_finished |= packet.header.is_finish || packet.header.is_reset;
         let owner = hint.owner;
         self.forward_packet(owner, ForwardPurpose::Owner, packet.bytes, outbox);
     }
@@ -346,6 +360,7 @@
             owner,
             last_used_at: now,
             is_exclusive,
+            is_finished: false,
         };
         self.hints.insert(flow, hint);
     }
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -164,7 +164,7 @@
                     self.query_new_host(from, now, outbox);
                 }
                 if is_new && host.is_relearning {
-                    self.send_flows_of(from, from, outbox);
+                    self.send_flows_of(from, now, outbox);
                 }
                 if was_relearning && !host.is_relearning {
                     self.query_decided_host(from, now);
@@ -182,7 +182,7 @@
                 self.add_contacts(&[from]);
                 self.add_contacts(&balancer.balancers);
                 if balancer.wants_flows {
-                    self.send_flow_table(from, outbox);
+                    self.send_flow_table(from, now, outbox);
                 }
             }
         }
@@ -268,35 +268,61 @@
         self.recent_balancers.push(address);
     }
 
-    /// Sends the flow table to a peer.
-    pub(super) fn send_flow_table(&self, peer: Ipv4Addr, outbox: &mut FlowOutbox) {
-        for host in self.members.hosts() {
-            self.send_flows_of(host.peer.address, peer, outbox);
-        }
-    }
-
-    /// Sends the flows that `host` owns to a peer, in batches.
-    fn send_flows_of(&self, host: Ipv4Addr, peer: Ipv4Addr, outbox: &mut FlowOutbox) {
-        for batch in self.flows_owned_by(host).chunks(MAX_BATCH_FLOWS) {
-            let message = CarryMessage::Flows {
-                owner: host,
-                flows: batch.to_vec(),
-            };
-            outbox.enqueue_message(peer, &message, &[]);
+    /// Sends the flow table to a peer, without the flows that have finished.
+    pub(super) fn send_flow_table(
+        &self,
+        peer: Ipv4Addr,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let mut owned_flows: Vec<(Ipv4Addr, FlowKey)> = self
+            .hints
+            .iter()
+            .filter(|(_, hint)| hint.is_worth_sharing(now))
+            .map(|(flow, hint)| (hint.owner, *flow))
+            .collect();
+        owned_flows.sort_unstable();
+        for flows_of_owner in owned_flows.chunk_by(|left, right| left.0 == right.0) {
+            let owner = flows_of_owner[0].0;
+            if self.members.host(owner).is_none() {
+                continue;
+            }
+            let flows: Vec<FlowKey> = flows_of_owner.iter().map(|(_, flow)| *flow).collect();
+            send_flows(owner, &flows, peer, outbox);
         }
     }
 
-    fn flows_owned_by(&self, host: Ipv4Addr) -> Vec<FlowKey> {
-        self.hints
+    /// Sends a host the flows that it owns, without those that have finished.
+    fn send_flows_of(&self, host: Ipv4Addr, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let flows: Vec<FlowKey> = self
+            .hints
             .iter()
-            .filter(|(_, hint)| hint.owner == host)
+            .filter(|(_, hint)| hint.owner == host && hint.is_worth_sharing(now))
             .map(|(flow, _)| *flow)
-            .collect()
+            .collect();
+        send_flows(host, &flows, host, outbox);
     }
 
     fn remove_hints_of(&mut self, host: Ipv4Addr) {
-        for flow in self.flows_owned_by(host) {
+        let flows: Vec<FlowKey> = self
+            .hints
+            .iter()
+            .filter(|(_, hint)| hint.owner == host)
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flow in flows {
             self.hints.remove(&flow);
         }
     }
 }
+
+/// Sends flows that `owner` holds to a peer, in batches.
+fn send_flows(owner: Ipv4Addr, flows: &[FlowKey], peer: Ipv4Addr, outbox: &mut FlowOutbox) {
+    for batch in flows.chunks(MAX_BATCH_FLOWS) {
+        let message = CarryMessage::Flows {
+            owner,
+            flows: batch.to_vec(),
+        };
+        outbox.enqueue_message(peer, &message, &[]);
+    }
+}
