Offer new flows to hosts with room, keep the others by what their callers wait for

A balancer takes a host that turned a flow away as full until its server has ended its share of requests, counts what it has sent between reports, names three hosts if none has a free slot, and keeps flows that none has room for: those that can be in time by their route's target latency first.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -116,6 +116,8 @@
     questions_allowed_at: MonotonicTime,
     /// How long hosts take to answer questions.
     reply_time: ReplyTime,
+    /// How long hosts take to accept or return new flows.
+    offer_time: ReplyTime,
     save_queue: SaveQueue,
     store_era: KnownEra,
     hello_number: u32,
@@ -148,6 +150,7 @@
             questions_queued_at: None,
             questions_allowed_at: MonotonicTime::default(),
             reply_time: ReplyTime::default(),
+            offer_time: ReplyTime::default(),
             save_queue: SaveQueue::default(),
             store_era: KnownEra::default(),
             hello_number: 0,
--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -20,13 +20,17 @@
 use crate::event::FlowEvent;
 use crate::event::RefusalReason;
 use crate::holding::HeldFlow;
+use crate::holding::max_fresh_age;
 use crate::holding::max_hold_time;
 use crate::holding::opening_age;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
+use crate::placing::Placement;
 use crate::placing::PlacementRequest;
-use crate::placing::order_candidates;
+use crate::placing::median_answer_time;
+use crate::placing::place_flow;
 use crate::ranking::hash_flow;
+use crate::routes::RouteTable;
 
 /// Time a host has to accept a flow before the flow is offered to another one. A
 /// round trip and the server's handshake take 2 ms; the rest allows for a machine
@@ -78,11 +82,13 @@
     bytes: Vec<u8>,
 }
 
-/// Service, timeout and priority of a flow, from its route.
+/// What the route of a flow says about it.
 #[derive(Debug, Clone)]
 struct RouteMatch {
     service: String,
     timeout: Duration,
+    /// Time within which callers expect an answer; zero if not known.
+    target_latency: Duration,
     priority: u8,
 }
 
@@ -101,7 +107,8 @@
             return;
         }
         let pending = self.openings.iter().find(|opening| opening.flow == flow);
-        if pending.is_some_and(|opening| now.since(opening.sent_at) < OFFER_TIMEOUT) {
+        let offer_timeout = self.offer_time.timeout(OFFER_TIMEOUT);
+        if pending.is_some_and(|opening| now.since(opening.sent_at) < offer_timeout) {
             // The current offer has not timed out yet.
             return;
         }
@@ -130,18 +137,37 @@
     /// flow if there are none.
     fn offer_flow(&mut self, new_flow: NewFlow, now: MonotonicTime, outbox: &mut FlowOutbox) {
         if self.routes.table().version() == 0 {
-            outbox.record_event(FlowEvent::Dropped {
-                reason: DropReason::NotReady,
-            });
+            self.hold_until_routes(new_flow, outbox);
             return;
         }
         let Some(route_match) = self.match_route(&new_flow.flow) else {
             self.refuse_flow(new_flow.flow, RefusalReason::NoRoute, outbox);
             return;
         };
-        let candidates = self.select_candidates(&new_flow, &route_match, now);
+        match self.place_new_flow(&new_flow, &route_match, now) {
+            Placement::Offer(candidates) => {
+                self.send_offer(new_flow, candidates, now, outbox);
+            }
+            Placement::Full => {
+                let reason = RefusalReason::NoCapacity;
+                self.hold_or_refuse_flow(new_flow, &route_match, reason, now, outbox);
+            }
+            Placement::NoHost => {
+                let reason = self.explain_missing_host(&new_flow, &route_match);
+                self.hold_or_refuse_flow(new_flow, &route_match, reason, now, outbox);
+            }
+        }
+    }
+
+    /// Sends an offer to the first candidate.
+    fn send_offer(
+        &mut self,
+        new_flow: NewFlow,
+        candidates: CandidateList,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
         let Some((first_host, next_hosts)) = candidates.split_first() else {
-            self.hold_or_refuse_flow(new_flow, &route_match, now, outbox);
             return;
         };
         let first_host = *first_host;
@@ -173,12 +199,13 @@
     /// Offers flows to other hosts if no host has accepted them in time. After the last
     /// attempt, drops the pending opening once the caller no longer retransmits.
     pub(super) fn retry_expired_offers(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        let offer_timeout = self.offer_time.timeout(OFFER_TIMEOUT);
         let mut index = 0;
         while index < self.openings.len() {
             let opening = &self.openings[index];
             let offer_age = now.since(opening.sent_at);
             let is_last_attempt = opening.attempt_count >= MAX_ATTEMPTS;
-            if offer_age < OFFER_TIMEOUT
+            if offer_age < offer_timeout
                 || (is_last_attempt && offer_age < OPENING_RETRANSMIT_WINDOW)
             {
                 index += 1;
@@ -216,7 +243,10 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        self.openings.retain(|opening| opening.flow != *flow);
+        if let Some(index) = self.find_opening(flow) {
+            let opening = self.openings.swap_remove(index);
+            self.offer_time.record(now.since(opening.sent_at));
+        }
         if !self.hold_queue.is_empty() {
             self.offer_next_held_flow(flow, now, outbox);
         }
@@ -231,26 +261,49 @@
         outbox: &mut FlowOutbox,
     ) {
         let flow = packet.header.caller_flow();
-        let Some(index) = self
-            .openings
-            .iter()
-            .position(|opening| opening.flow == flow)
-        else {
+        let Some(index) = self.find_opening(&flow) else {
             return;
         };
         let opening = self.openings.swap_remove(index);
+        self.offer_time.record(now.since(opening.sent_at));
         let offered_hosts = opening.offered_hosts.clone();
+        for host in &offered_hosts {
+            self.members.record_full(*host, now);
+        }
         self.offer_flow(opening.into_new_flow(&offered_hosts), now, outbox);
     }
 
-    /// Refuses the held flows whose deadline has passed, and offers the highest-ranked
-    /// of the others.
+    fn find_opening(&self, flow: &FlowKey) -> Option<usize> {
+        self.openings
+            .iter()
+            .position(|opening| opening.flow == *flow)
+    }
+
+    /// Refuses the held flows whose deadline has passed, and offers the others, the
+    /// highest-ranked first, as long as hosts have room.
     pub(super) fn process_held_flows(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         for held_flow in self.hold_queue.take_expired(now) {
             self.refuse_flow(held_flow.flow, RefusalReason::NoCapacity, outbox);
         }
-        if let Some(held_flow) = self.hold_queue.take_next(now, |_| true) {
+        if self.routes.table().version() == 0 {
+            return;
+        }
+        let mut full_services: Vec<String> = Vec::new();
+        loop {
+            let routes = self.routes.table();
+            let next_flow = self.hold_queue.take_next(now, |held_flow| {
+                let service = service_of(routes, &held_flow.flow);
+                service.is_none_or(|service| !full_services.iter().any(|full| full == service))
+            });
+            let Some(held_flow) = next_flow else {
+                return;
+            };
+            let service = service_of(self.routes.table(), &held_flow.flow).map(str::to_owned);
+            let flow = held_flow.flow;
             self.offer_flow(NewFlow::from(held_flow), now, outbox);
+            if self.hold_queue.contains(&flow) {
+                full_services.extend(service);
+            }
         }
     }
 
@@ -270,29 +323,53 @@
         };
         let routes = self.routes.table();
         let next_held_flow = self.hold_queue.take_next(now, |held_flow| {
-            let route = routes.route(held_flow.flow.target);
-            route.and_then(|route| route.service_of(&held_flow.flow)) == Some(service.as_str())
+            service_of(routes, &held_flow.flow) == Some(service.as_str())
         });
         if let Some(held_flow) = next_held_flow {
             self.offer_flow(NewFlow::from(held_flow), now, outbox);
         }
     }
 
+    /// Returns why no host can be offered the flow: all were tried, all are in emptied zones,
+    /// or there is none.
+    fn explain_missing_host(&self, new_flow: &NewFlow, route_match: &RouteMatch) -> RefusalReason {
+        if !new_flow.tried_hosts.is_empty() {
+            RefusalReason::NoCapacity
+        } else if self.is_service_evacuated(&route_match.service) {
+            RefusalReason::ZoneEvacuated
+        } else {
+            RefusalReason::NoHost
+        }
+    }
+
+    /// Holds a flow that arrived before the routes. Which service it is for is not known, so
+    /// it waits as long as its caller retransmits.
+    fn hold_until_routes(&mut self, new_flow: NewFlow, outbox: &mut FlowOutbox) {
+        let rejected = self.hold_queue.push(HeldFlow {
+            flow: new_flow.flow,
+            priority: 0,
+            arrived_at: new_flow.arrived_at,
+            age_at_arrival: new_flow.age_at_arrival,
+            max_fresh_age: max_fresh_age(Duration::ZERO, Duration::ZERO),
+            deadline: new_flow.arrived_at + max_hold_time(Duration::ZERO, false),
+            bytes: new_flow.bytes,
+        });
+        if rejected.is_some() {
+            outbox.record_event(FlowEvent::Dropped {
+                reason: DropReason::NotReady,
+            });
+        }
+    }
+
     fn hold_or_refuse_flow(
         &mut self,
         new_flow: NewFlow,
         route_match: &RouteMatch,
+        reason: RefusalReason,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
         let is_discovery_complete = self.is_discovery_complete(now);
-        let reason = if !new_flow.tried_hosts.is_empty() {
-            RefusalReason::NoCapacity
-        } else if self.is_service_evacuated(&route_match.service) {
-            RefusalReason::ZoneEvacuated
-        } else {
-            RefusalReason::NoHost
-        };
         let deadline =
             new_flow.arrived_at + max_hold_time(route_match.timeout, is_discovery_complete);
         let is_unservable = is_discovery_complete && reason != RefusalReason::NoCapacity;
@@ -305,6 +382,7 @@
             priority: route_match.priority,
             arrived_at: new_flow.arrived_at,
             age_at_arrival: new_flow.age_at_arrival,
+            max_fresh_age: self.max_fresh_age_of(route_match),
             deadline,
             bytes: new_flow.bytes,
         });
@@ -331,16 +409,23 @@
         Some(RouteMatch {
             service: route.service_of(flow)?.to_owned(),
             timeout: Duration::from_millis(u64::from(route.timeout_millis)),
+            target_latency: Duration::from_millis(u64::from(route.target_latency_millis)),
             priority: route.priority,
         })
     }
 
-    fn select_candidates(
+    /// Returns the age up to which flows of a route can still be answered in time.
+    fn max_fresh_age_of(&self, route_match: &RouteMatch) -> Duration {
+        let answer_time = median_answer_time(self.members.hosts(), &route_match.service);
+        max_fresh_age(route_match.target_latency, answer_time)
+    }
+
+    fn place_new_flow(
         &self,
         new_flow: &NewFlow,
         route_match: &RouteMatch,
         now: MonotonicTime,
-    ) -> CandidateList {
+    ) -> Placement {
         let request = PlacementRequest {
             service: &route_match.service,
             zone: &self.identity.zone,
@@ -349,7 +434,7 @@
             evacuated_zones: self.evacuation.zones(),
         };
         let timeouts = self.members.timeouts();
-        order_candidates(self.members.hosts(), &request, &timeouts, now)
+        place_flow(self.members.hosts(), &request, &timeouts, now)
     }
 
     fn refuse_flow(&self, flow: FlowKey, reason: RefusalReason, outbox: &mut FlowOutbox) {
@@ -418,3 +503,8 @@
         }
     }
 }
+
+/// Returns the service that a flow is for.
+fn service_of<'a>(routes: &'a RouteTable, flow: &FlowKey) -> Option<&'a str> {
+    routes.route(flow.target)?.service_of(flow)
+}
--- a/crates/flows/src/balancer/reply_time.rs
+++ b/crates/flows/src/balancer/reply_time.rs
@@ -1,4 +1,4 @@
-//! Estimates how long hosts take to answer questions.
+//! Estimates how long hosts take to answer questions and offers.
 //!
 //! After an outage, thousands of questions and answers may wait on a small link. A
 //! question that is repeated while the first one is queued makes the queue longer, so the
--- a/crates/flows/src/holding.rs
+++ b/crates/flows/src/holding.rs
@@ -22,10 +22,13 @@
 /// opening packet for the last time after 600 ms.
 const MAX_HOLD_TIME: Duration = Duration::from_millis(600);
 
-/// Age up to which the first request of a flow can still be answered in time. Latency
-/// targets are 100 to 150 ms, most of which is spent in the server's queue and in
-/// processing.
-const FRESH_MAX_AGE: Duration = Duration::from_millis(50);
+/// Age up to which the first request of a flow can still be answered in time if the target
+/// latency of its route is not known or very short.
+const MIN_FRESH_AGE: Duration = Duration::from_millis(50);
+
+/// Number of answer times that a request takes at a busy server: the answers to those
+/// before it in the server's queue, and its own.
+const BUSY_ANSWER_COUNT: u32 = 3;
 
 /// Age of a flow at the first, second and third transmission of its opening packet.
 const OPENING_AGES: [Duration; 3] = [
@@ -49,6 +52,8 @@
     /// Age of the flow when that packet arrived: zero, or the time since the caller's first
     /// attempt if the packet is a retransmission.
     pub age_at_arrival: Duration,
+    /// Age up to which its first request can still be answered in time.
+    pub max_fresh_age: Duration,
     /// Time at which the wait ends and the flow is refused.
     pub deadline: MonotonicTime,
     /// The bytes of its opening packet.
@@ -73,6 +78,15 @@
     }
 }
 
+/// Returns the age up to which the first request of a flow can still be answered within
+/// `target_latency`, which is zero if it is not known. Servers take `answer_time` for a
+/// request.
+pub fn max_fresh_age(target_latency: Duration, answer_time: Duration) -> Duration {
+    target_latency
+        .saturating_sub(answer_time * BUSY_ANSWER_COUNT)
+        .max(MIN_FRESH_AGE)
+}
+
 /// The queue of waiting flows.
 #[derive(Debug, Default)]
 pub struct HoldQueue {
@@ -129,7 +143,7 @@
 fn sort_key(held_flow: &HeldFlow, now: MonotonicTime) -> (bool, u8, Reverse<MonotonicTime>) {
     let age = now.since(held_flow.arrived_at) + held_flow.age_at_arrival;
     (
-        age >= FRESH_MAX_AGE,
+        age >= held_flow.max_fresh_age,
         held_flow.priority,
         Reverse(held_flow.arrived_at),
     )
--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -21,11 +21,7 @@
 use crate::host::records::FlowRecord;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
-
-/// Number of requests in progress per slot at which a server gets no more new flows. The
-/// last of these requests waits for two answers, which takes most of its latency target.
-/// Further flows are held at the balancers, which know the age of each.
-const MAX_REQUESTS_PER_SLOT: u16 = 3;
+use crate::room::MAX_REQUESTS_PER_SLOT;
 
 /// Assumed number of slots of a server before its first heartbeat.
 const DEFAULT_SLOTS: u16 = 2;
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod packet;
 pub mod placing;
 pub mod ranking;
+pub mod room;
 pub mod route_transfer;
 pub mod routes;
 pub mod saved_flows;
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -13,6 +13,9 @@
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::room::full_time;
+use crate::room::has_room;
+
 /// Minimum interval between hellos to the same peer. It bounds the age of load reports;
 /// a quarter of a second costs a balancer 40 datagrams a second with ten hosts.
 pub const MIN_HELLO_INTERVAL: Duration = Duration::from_millis(250);
@@ -70,6 +73,8 @@
     pub flows_since_report: u16,
     /// Time until which new flows avoid it because it did not answer an opening packet.
     pub avoided_until: MonotonicTime,
+    /// Time until which it counts as full because it has turned a flow away.
+    pub full_until: MonotonicTime,
     /// Whether its server may hold flows that are missing from its table.
     pub is_relearning: bool,
     /// Whether its server started recently.
@@ -278,6 +283,14 @@
         }
     }
 
+    /// Records that a host has turned a flow away, because its server has no room.
+    pub fn record_full(&mut self, address: Ipv4Addr, now: MonotonicTime) {
+        let balancer_count = self.balancers.len() + 1;
+        if let Some(record) = self.host_mut(address) {
+            record.full_until = now + full_time(&record.load, balancer_count);
+        }
+    }
+
     /// Records the load that a host reported in a message other than a hello.
     pub fn record_load(&mut self, address: Ipv4Addr, load: CarryLoad, now: MonotonicTime) {
         if let Some(record) = self.host_mut(address) {
@@ -285,6 +298,9 @@
             record.reported_at = now;
             record.flows_since_report = 0;
             record.peer.last_seen_at = now;
+            if has_room(&load) {
+                record.full_until = MonotonicTime::default();
+            }
             record.avoided_until = MonotonicTime::default();
         }
     }
@@ -316,6 +332,7 @@
             reported_at: now,
             flows_since_report: 0,
             avoided_until: MonotonicTime::default(),
+            full_until: MonotonicTime::default(),
             is_relearning: hello.is_relearning,
             is_server_new: hello.is_server_new,
             is_stopping: hello.is_stopping,
@@ -325,7 +342,11 @@
             Ok(index) => {
                 let outcome = compare_hellos(&self.hosts[index].peer, &record.peer);
                 if outcome != HelloOutcome::Stale {
+                    let full_until = self.hosts[index].full_until;
                     self.hosts[index] = record;
+                    if outcome == HelloOutcome::Updated && !has_room(&hello.load) {
+                        self.hosts[index].full_until = full_until;
+                    }
                 }
                 outcome
             }
--- a/crates/flows/src/placing.rs
+++ b/crates/flows/src/placing.rs
@@ -14,6 +14,7 @@
 //! servers of its service is therefore assumed to be failing.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use hyssopstair_wire::carried::CandidateList;
 use hyssopstair_wire::carried::MAX_CANDIDATES;
@@ -22,6 +23,8 @@
 use crate::members::HostRecord;
 use crate::members::MemberTimeouts;
 use crate::ranking::rank_hosts;
+use crate::room::may_accept;
+use crate::room::may_have_free_slot;
 
 /// Median answer time that is assumed while no host has reported one, in microseconds.
 const DEFAULT_ANSWER_MICROS: u64 = 20_000;
@@ -42,6 +45,9 @@
 /// other hosts are full.
 const FAST_ERROR_FACTOR: f64 = 4.0;
 
+/// Maximum number of candidates if no host has a free slot.
+const MAX_BUSY_CANDIDATES: usize = 3;
+
 /// Additional cost of a host in another availability zone, in median answer times.
 const OTHER_ZONE_COST: f64 = 0.05;
 
@@ -70,15 +76,26 @@
     }
 }
 
-/// Returns the hosts that a new flow may be offered to. Of the usable hosts, the
-/// [`MAX_CANDIDATES`] that rank first for the flow are returned, in the order of their
+/// The hosts of a service for a new flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Placement {
+    /// The hosts that the flow is offered to, in this order.
+    Offer(CandidateList),
+    /// There are hosts, and none of them has room at the moment.
+    Full,
+    /// There is no host.
+    NoHost,
+}
+
+/// Selects the hosts that a new flow is offered to. Of the usable hosts with room, the
+/// [`MAX_CANDIDATES`] that rank first for the flow are selected, in the order of their
 /// expected cost, the lowest first.
-pub fn order_candidates(
+pub fn place_flow(
     hosts: &[HostRecord],
     request: &PlacementRequest<'_>,
     timeouts: &MemberTimeouts,
     now: MonotonicTime,
-) -> CandidateList {
+) -> Placement {
     let is_candidate = |record: &&HostRecord| request.allows(record);
     let usable: Vec<&HostRecord> = hosts
         .iter()
@@ -95,6 +112,17 @@
     } else {
         usable
     };
+    if usable.is_empty() {
+        return Placement::NoHost;
+    }
+    let usable: Vec<&HostRecord> = usable
+        .into_iter()
+        .filter(|record| may_accept(record, now))
+        .collect();
+    if usable.is_empty() {
+        return Placement::Full;
+    }
+    let has_free_slot = usable.iter().any(|record| may_have_free_slot(record, now));
     let mut addresses: Vec<Ipv4Addr> = usable.iter().map(|record| record.peer.address).collect();
     rank_hosts(request.flow_hash, &mut addresses);
     addresses.truncate(MAX_CANDIDATES);
@@ -110,7 +138,19 @@
         })
         .collect();
     scored.sort_by(|left, right| left.0.total_cmp(&right.0));
-    scored.into_iter().map(|(_, address)| address).collect()
+    if !has_free_slot {
+        scored.truncate(MAX_BUSY_CANDIDATES);
+    }
+    Placement::Offer(scored.into_iter().map(|(_, address)| address).collect())
+}
+
+/// Returns the median time that the hosts of a service take to answer.
+pub fn median_answer_time(hosts: &[HostRecord], service: &str) -> Duration {
+    let hosts: Vec<&HostRecord> = hosts
+        .iter()
+        .filter(|record| record.service == service)
+        .collect();
+    Duration::from_micros(median_answer_micros(&hosts))
 }
 
 /// Returns the median of the reported answer times, in microseconds. A single host that
