End a stopping balancer when routers have left it, not after a fixed time

A balancer counts the readiness probes that it answers in the negative, and ends after two of them once no packet has arrived for 0.2 s, at the latest a second before its grace period is over.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -129,6 +129,8 @@
     reported_owners: Vec<(Ipv4Addr, MonotonicTime)>,
     is_stopping: bool,
     last_tick_at: MonotonicTime,
+    /// When the last packet of a caller arrived.
+    last_caller_packet_at: MonotonicTime,
 }
 
 impl FlowBalancer {
@@ -160,6 +162,7 @@
             reported_owners: Vec::new(),
             is_stopping: false,
             last_tick_at: now,
+            last_caller_packet_at: now,
         };
         balancer.add_contacts(&contacts);
         balancer
@@ -241,6 +244,7 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
+        self.last_caller_packet_at = now;
         let header = &packet.header;
         if header.opens_flow() {
             self.receive_opening_packet(packet, now, outbox);
@@ -254,6 +258,11 @@
         }
     }
 
+    /// Returns the time since the last packet of a caller.
+    pub fn quiet_time(&self, now: MonotonicTime) -> Duration {
+        now.since(self.last_caller_packet_at)
+    }
+
     /// Returns the time at which the next tick is due.
     pub fn next_tick_at(&self) -> MonotonicTime {
         let is_idle =
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -4,6 +4,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -107,6 +108,7 @@
     routes_version: AtomicU64,
     balancer_count: AtomicU64,
     lower_balancer_count: AtomicU64,
+    refused_probe_count: AtomicU32,
 }
 
 impl ProcessStatus {
@@ -115,6 +117,18 @@
         self.inner.is_ready.load(Ordering::Relaxed)
     }
 
+    /// Counts a readiness probe that was answered in the negative.
+    pub fn record_refused_probe(&self) {
+        self.inner
+            .refused_probe_count
+            .fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of readiness probes that were answered in the negative.
+    pub fn refused_probe_count(&self) -> u32 {
+        self.inner.refused_probe_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the version of the routes in force; 0 if there are none.
     pub fn routes_version(&self) -> u64 {
         self.inner.routes_version.load(Ordering::Relaxed)
--- a/crates/hyssopstaird/src/carry/http.rs
+++ b/crates/hyssopstaird/src/carry/http.rs
@@ -107,7 +107,10 @@
         let call = calls::decode_call(request.method().as_str(), request.uri().path());
         let status = match call {
             Some(InboundCall::Readiness) if self.status.is_ready() => StatusCode::OK,
-            Some(InboundCall::Readiness) => StatusCode::SERVICE_UNAVAILABLE,
+            Some(InboundCall::Readiness) => {
+                self.status.record_refused_probe();
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Some(InboundCall::Heartbeat { id }) => self.handle_heartbeat(&id, request).await,
             Some(InboundCall::Deregistration { id }) => self.handle_deregistration(id).await,
             None => StatusCode::NOT_FOUND,
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -16,6 +16,7 @@
 use hyssopstair_flows::balancer::BalancerIdentity;
 use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::balancer::SaveRequest;
+use hyssopstair_flows::drain::DrainProgress;
 use hyssopstair_flows::event::DropReason;
 use hyssopstair_flows::event::FlowEvent;
 use hyssopstair_flows::heartbeat::HeartbeatVerdict;
@@ -58,10 +59,6 @@
 /// read.
 const MAX_BATCH_DATAGRAMS: usize = 64;
 
-/// Time for which a balancer keeps running after the signal to stop: routers need two
-/// readiness probes, half a second apart, to see that it is not ready.
-const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(1_600);
-
 /// Minimum time for which a host keeps running after the signal to stop, so that
 /// balancers stop sending it new flows.
 const MIN_HOST_DRAIN_TIME: Duration = Duration::from_millis(150);
@@ -70,6 +67,9 @@
 /// answers to requests in progress.
 const MAX_HOST_DRAIN_TIME: Duration = Duration::from_millis(1_500);
 
+/// Interval at which a stopping process checks whether it may end.
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Part of the grace period that is reserved for the exit itself.
 const EXIT_RESERVE: Duration = Duration::from_millis(1_000);
 
@@ -109,6 +109,8 @@
     metrics: CarryMetrics,
     /// Time at which the signal to stop arrived.
     stop_requested_at: Option<MonotonicTime>,
+    /// Number of readiness probes that had been answered in the negative by then.
+    refused_probes_before_stop: u32,
 }
 
 impl CarryProcess {
@@ -149,6 +151,7 @@
             journal: EventJournal::start(),
             metrics,
             stop_requested_at: None,
+            refused_probes_before_stop: 0,
             settings,
         };
         process.start_store_tasks(save_receiver);
@@ -210,7 +213,10 @@
     /// and signals.
     async fn wait_for_event(&mut self, terminate: &mut Signal, reload: &mut Signal) {
         let now = self.clock.now();
-        let delay = self.forwarder.next_tick_at().since(now);
+        let mut delay = self.forwarder.next_tick_at().since(now);
+        if self.stop_requested_at.is_some() {
+            delay = delay.min(EXIT_CHECK_INTERVAL);
+        }
         tokio::select! {
             () = self.peer_socket.wait_readable() => {}
             () = self.packet_socket.wait_readable() => {}
@@ -443,6 +449,7 @@
         }
         let now = self.clock.now();
         self.stop_requested_at = Some(now);
+        self.refused_probes_before_stop = self.status.refused_probe_count();
         self.journal
             .write_process("stopping", json!({ "cause": "signal" }), now);
         self.forwarder.stop(now, &mut self.outbox);
@@ -491,11 +498,21 @@
         let now = self.clock.now();
         let elapsed = now.since(stop_requested_at);
         let grace_period = Duration::from_secs_f64(self.settings.grace_seconds);
-        if elapsed >= grace_period.saturating_sub(EXIT_RESERVE) {
+        let limit = grace_period.saturating_sub(EXIT_RESERVE);
+        if elapsed >= limit {
             return true;
         }
         match &self.forwarder {
-            CarryPart::Balancer(_) => elapsed >= BALANCER_DRAIN_TIME,
+            CarryPart::Balancer(balancer) => {
+                let refused_probe_count = self.status.refused_probe_count();
+                DrainProgress {
+                    elapsed,
+                    refused_probe_count: refused_probe_count - self.refused_probes_before_stop,
+                    quiet: balancer.quiet_time(now),
+                    limit,
+                }
+                .may_end()
+            }
             CarryPart::Host(host) => {
                 let is_idle =
                     host.in_progress(now) == 0 || host.server_state() == ServerState::Down;
