Hand flows over to the balancers of the zone, from the one that carries them

A balancer shares the flows of which it has forwarded packets, with the balancers of the zone that get these packets when it is gone, and encodes the table once.

The new test fails on the old code, which sends all flows to all.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -83,12 +83,16 @@
     is_exclusive: bool,
     /// Whether the caller has finished or reset the flow.
     is_finished: bool,
+    /// Whether this balancer has forwarded a packet of the flow; if not, it only knows the
+    /// owner from a peer.
+    is_carried: bool,
 }
 
 impl FlowHint {
     /// Returns whether other balancers may still receive packets of the flow.
     fn is_worth_sharing(&self, now: MonotonicTime) -> bool {
-        !self.is_finished || now.since(self.last_used_at) < FINISHED_SHARING_PERIOD
+        self.is_carried
+            && (!self.is_finished || now.since(self.last_used_at) < FINISHED_SHARING_PERIOD)
     }
 }
 
@@ -298,13 +302,12 @@
     }
 
     /// Prepares the process to stop: reports it as not ready, so that routers send it
-    /// no more packets, and sends its flow table to the other balancers.
+    /// no more packets, and sends its flow table to the balancers that get its packets.
     pub fn stop(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         self.is_stopping = true;
         self.send_hellos(now, outbox);
-        for peer in self.members.balancer_addresses() {
-            self.send_flow_table(peer, now, outbox);
-        }
+        let successors = self.select_successors(&self.identity.zone);
+        self.send_flow_table(&successors, now, outbox);
     }
 
     fn receive_established_packet(
@@ -320,6 +323,7 @@
         };
         hint.last_used_at = now;
         hint.is_finished |= packet.header.is_finish || packet.header.is_reset;
+        hint.is_carried = true;
         let owner = hint.owner;
         self.forward_packet(owner, ForwardPurpose::Owner, packet.bytes, outbox);
     }
@@ -359,6 +363,9 @@
         });
         let is_exclusive = !is_ambiguous && !self.has_several_offers(&flow);
         self.record_owner(flow, owner, is_exclusive, now);
+        if let Some(hint) = self.hints.get_mut(&flow) {
+            hint.is_carried = true;
+        }
     }
 
     fn record_owner(
@@ -373,6 +380,7 @@
             last_used_at: now,
             is_exclusive,
             is_finished: false,
+            is_carried: false,
         };
         self.hints.insert(flow, hint);
     }
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -22,6 +22,7 @@
 use crate::balancer::SaveRequest;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
+use crate::members::BalancerRecord;
 use crate::members::HelloOutcome;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
@@ -164,7 +165,7 @@
                     self.query_new_host(from, now, outbox);
                 }
                 if is_new && host.is_relearning {
-                    self.send_flows_of(from, now, outbox);
+                    self.send_flows_of(from, outbox);
                 }
                 if was_relearning && !host.is_relearning {
                     self.query_decided_host(from, now);
@@ -181,8 +182,8 @@
                 }
                 self.add_contacts(&[from]);
                 self.add_contacts(&balancer.balancers);
-                if balancer.wants_flows {
-                    self.send_flow_table(from, now, outbox);
+                if balancer.wants_flows && self.may_share_callers_with(&hello.zone, from) {
+                    self.send_flow_table(&[from], now, outbox);
                 }
             }
         }
@@ -268,10 +269,35 @@
         self.recent_balancers.push(address);
     }
 
-    /// Sends the flow table to a peer, without the flows that have finished.
+    /// Returns the balancers to which routers send the callers of a zone if another of the
+    /// zone's balancers is gone: those of the zone, or all if it has no other.
+    pub(super) fn select_successors(&self, zone: &str) -> Vec<Ipv4Addr> {
+        let (near, far): (Vec<&BalancerRecord>, Vec<&BalancerRecord>) = self
+            .members
+            .balancers()
+            .iter()
+            .filter(|record| !record.is_stopping)
+            .partition(|record| record.peer.zone == zone);
+        let successors = if near.is_empty() { far } else { near };
+        successors
+            .iter()
+            .map(|record| record.peer.address)
+            .collect()
+    }
+
+    /// Returns whether a balancer of `zone` at `peer` may get packets of callers that this one
+    /// has served: it is in the same zone, or the only one of its own.
+    fn may_share_callers_with(&self, zone: &str, peer: Ipv4Addr) -> bool {
+        let is_other_of_zone = |record: &BalancerRecord| {
+            record.peer.zone == zone && record.peer.address != peer && !record.is_stopping
+        };
+        self.identity.zone == zone || !self.members.balancers().iter().any(is_other_of_zone)
+    }
+
+    /// Sends the open flows that this balancer carries to peers.
     pub(super) fn send_flow_table(
         &self,
-        peer: Ipv4Addr,
+        peers: &[Ipv4Addr],
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
@@ -288,16 +314,18 @@
                 continue;
             }
             let flows: Vec<FlowKey> = flows_of_owner.iter().map(|(_, flow)| *flow).collect();
-            send_flows(owner, &flows, peer, outbox);
+            for peer in peers {
+                send_flows(owner, &flows, *peer, outbox);
+            }
         }
     }
 
     /// Sends a host the flows that it owns, without those that have finished.
-    fn send_flows_of(&self, host: Ipv4Addr, now: MonotonicTime, outbox: &mut FlowOutbox) {
+    fn send_flows_of(&self, host: Ipv4Addr, outbox: &mut FlowOutbox) {
         let flows: Vec<FlowKey> = self
             .hints
             .iter()
-            .filter(|(_, hint)| hint.owner == host && hint.is_worth_sharing(now))
+            .filter(|(_, hint)| hint.owner == host && !hint.is_finished)
             .map(|(flow, _)| *flow)
             .collect();
         send_flows(host, &flows, host, outbox);
--- a/crates/flows/tests/planned_stop.rs
+++ b/crates/flows/tests/planned_stop.rs
@@ -8,6 +8,7 @@
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_flows::packet::PacketHeader;
 use hyssopstair_wire::carried::CarryMessage;
+use hyssopstair_wire::carried::HelloRole;
 
 use crate::fixture::*;
 
@@ -79,3 +80,65 @@
     expect!["[4001, 4002, 4004] in 2 messages"]
         .assert_eq(&format!("{ports:?} in {message_count} messages"));
 }
+
+/// Returns a hello of a balancer in a zone, which asks for flow tables if it `wants_flows`.
+fn hello_from_zone(zone: &str, wants_flows: bool) -> CarryMessage {
+    let CarryMessage::Hello(mut hello) = balancer_hello(1) else {
+        panic!("not a hello");
+    };
+    hello.zone = zone.to_owned();
+    if let HelloRole::Balancer(balancer) = &mut hello.role {
+        balancer.wants_flows = wants_flows;
+    }
+    CarryMessage::Hello(hello)
+}
+
+/// Failure: each balancer passes on what it has from others as well, to all balancers of all
+/// zones, and a small one does nothing else for a second before it stops.
+#[test]
+fn flows_go_to_the_balancers_of_the_zone_from_the_one_that_carries_them() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = new_balancer();
+    for number in [1, 2] {
+        receive_host_hello(&mut balancer, number, &host_hello(1, 0), at(1), &mut outbox);
+    }
+    let zones = [(2, "utr-a"), (3, "ame-b")];
+    for (number, zone) in zones {
+        let from = balancer_address(number);
+        let hello = hello_from_zone(zone, false);
+        balancer.receive_peer_message(from, &hello, None, &[], at(1), &mut outbox);
+    }
+    let learned = CarryMessage::Flows {
+        owner: host_address(1),
+        flows: vec![opening_packet(6_001).caller_flow()],
+    };
+    let from = balancer_address(2);
+    balancer.receive_peer_message(from, &learned, None, &[], at(2), &mut outbox);
+    claim_flow(&mut balancer, 4_001, 700);
+    // The first balancer of a third zone, and one more of the second, start and ask.
+    let mut lines = Vec::new();
+    for (number, zone) in [(4, "zei-c"), (5, "ame-b"), (6, "utr-a")] {
+        outbox.clear();
+        let from = balancer_address(number);
+        let hello = hello_from_zone(zone, true);
+        balancer.receive_peer_message(from, &hello, None, &[], at(800), &mut outbox);
+        let (ports, _) = shared_ports(&outbox, Destination::Peer(from));
+        lines.push(format!("{zone} asks: {ports:?}"));
+    }
+    outbox.clear();
+    balancer.stop(at(900), &mut outbox);
+    for number in 2..=6 {
+        let (ports, _) = shared_ports(&outbox, Destination::Peer(balancer_address(number)));
+        lines.push(format!("stop, balancer {number}: {ports:?}"));
+    }
+    expect![[r#"
+        zei-c asks: [4001]
+        ame-b asks: []
+        utr-a asks: [4001]
+        stop, balancer 2: [4001]
+        stop, balancer 3: []
+        stop, balancer 4: []
+        stop, balancer 5: []
+        stop, balancer 6: [4001]"#]]
+    .assert_eq(&lines.join("\n"));
+}
