Do not end a stopping process while flows wait for a host

It could happen here: a balancer ended while flows that it kept for hosts with room were waiting, up to 0.6 s of them, and their callers heard nothing. It now stays until they are placed or refused, and refuses what is left at the end of its grace period; nothing of it has run.

Measured: the tests of the drain and of the refusal are new and fail without the change.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -35,6 +35,7 @@
 use crate::evacuation::EvacuationReplica;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
+use crate::event::RefusalReason;
 use crate::event::RouteSource;
 use crate::holding::HoldQueue;
 use crate::members::MemberTable;
@@ -267,6 +268,19 @@
         now.since(self.last_caller_packet_at)
     }
 
+    /// Returns whether new flows wait for a host.
+    pub fn has_waiting_flows(&self) -> bool {
+        !self.hold_queue.is_empty() || self.openings.iter().any(PendingOpening::may_be_repeated)
+    }
+
+    /// Refuses the flows that wait for a host, because the process ends. Their callers learn
+    /// that nothing has run.
+    pub fn refuse_waiting_flows(&mut self, outbox: &mut FlowOutbox) {
+        for held_flow in self.hold_queue.take_all() {
+            self.refuse_flow(held_flow.flow, RefusalReason::Stopping, outbox);
+        }
+    }
+
     /// Returns the time at which the next tick is due.
     pub fn next_tick_at(&self) -> MonotonicTime {
         let is_idle =
--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -437,7 +437,12 @@
         place_flow(self.members.hosts(), &request, &timeouts, now)
     }
 
-    fn refuse_flow(&self, flow: FlowKey, reason: RefusalReason, outbox: &mut FlowOutbox) {
+    pub(super) fn refuse_flow(
+        &self,
+        flow: FlowKey,
+        reason: RefusalReason,
+        outbox: &mut FlowOutbox,
+    ) {
         outbox.enqueue_reset(flow, 0);
         outbox.record_event(FlowEvent::Refused {
             flow,
@@ -471,6 +476,11 @@
 }
 
 impl PendingOpening {
+    /// Returns whether the flow is offered again if the current offer times out.
+    pub(super) fn may_be_repeated(&self) -> bool {
+        self.attempt_count < MAX_ATTEMPTS
+    }
+
     /// Converts the pending opening into a flow to be offered again, with `hosts` added
     /// to its tried hosts.
     fn into_new_flow(self, hosts: &[Ipv4Addr]) -> NewFlow {
--- a/crates/flows/src/drain.rs
+++ b/crates/flows/src/drain.rs
@@ -31,6 +31,8 @@
     pub refused_probe_count: u32,
     /// Time since the last packet of a caller.
     pub quiet: Duration,
+    /// Whether new flows wait for a host.
+    pub has_waiting_flows: bool,
     /// Time after which it has to end.
     pub limit: Duration,
 }
@@ -41,6 +43,7 @@
         let have_routers_left = self.refused_probe_count >= LEAVING_PROBE_COUNT
             && self.elapsed >= MIN_DRAIN_TIME
             || self.elapsed >= UNPROBED_LEAVING_TIME;
-        self.elapsed >= self.limit || (have_routers_left && self.quiet >= QUIET_TIME)
+        let is_done = self.quiet >= QUIET_TIME && !self.has_waiting_flows;
+        self.elapsed >= self.limit || (have_routers_left && is_done)
     }
 }
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -349,6 +349,8 @@
     NoCapacity,
     /// All hosts that the flow might be offered to are in emptied availability zones.
     ZoneEvacuated,
+    /// The flow waited for a host when the process ended.
+    Stopping,
 }
 
 /// Why an open flow was reset.
--- a/crates/flows/src/holding.rs
+++ b/crates/flows/src/holding.rs
@@ -128,6 +128,11 @@
         Some(self.flows.swap_remove(index))
     }
 
+    /// Removes and returns all flows.
+    pub fn take_all(&mut self) -> Vec<HeldFlow> {
+        std::mem::take(&mut self.flows)
+    }
+
     /// Removes and returns the flows whose deadline has passed.
     pub fn take_expired(&mut self, now: MonotonicTime) -> Vec<HeldFlow> {
         let (expired, waiting) = std::mem::take(&mut self.flows)
--- a/crates/flows/tests/drain.rs
+++ b/crates/flows/tests/drain.rs
@@ -10,6 +10,11 @@
 /// Returns the time in milliseconds at which a balancer ends that is probed at these times,
 /// and whose last packet arrives at `last_packet_at`, once every 20 ms before.
 fn end_millis(probes_at: &[u64], last_packet_at: u64) -> u64 {
+    end_millis_with_waiting(probes_at, last_packet_at, 0)
+}
+
+/// As [`end_millis`], with flows that wait for a host until `waiting_until`.
+fn end_millis_with_waiting(probes_at: &[u64], last_packet_at: u64, waiting_until: u64) -> u64 {
     let has_ended = |millis: &u64| {
         let probe_count = probes_at.iter().filter(|probe| *probe <= millis).count();
         let quiet = millis.saturating_sub(last_packet_at.min(*millis));
@@ -17,6 +22,7 @@
             elapsed: Duration::from_millis(*millis),
             refused_probe_count: probe_count as u32,
             quiet: Duration::from_millis(quiet),
+            has_waiting_flows: *millis < waiting_until,
             limit: Duration::from_millis(LIMIT_MILLIS),
         }
         .may_end()
@@ -56,3 +62,14 @@
         no traffic: 620 ms"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+/// Failure: a process stops under load and ends with flows that it has kept for hosts with
+/// room. Their callers get no answer.
+#[test]
+fn a_balancer_stays_while_flows_wait_for_a_host() {
+    assert_eq!(end_millis_with_waiting(&[120, 620], 640, 1_230), 1_240);
+    assert_eq!(
+        end_millis_with_waiting(&[120, 620], 640, 60_000),
+        LIMIT_MILLIS
+    );
+}
--- a/crates/flows/tests/planned_stop.rs
+++ b/crates/flows/tests/planned_stop.rs
@@ -142,3 +142,17 @@
         stop, balancer 6: [4001]"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn flows_that_still_wait_when_the_process_ends_are_refused() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = new_balancer();
+    assert!(!balancer.has_waiting_flows());
+    let opening = opening_packet(4_001);
+    balancer.receive_caller_packet(&raw_packet(&opening), at(5), &mut outbox);
+    assert!(balancer.has_waiting_flows());
+    outbox.clear();
+    balancer.refuse_waiting_flows(&mut outbox);
+    expect!["reset 100.64.0.7:4001 at 0"].assert_eq(&take_output(&mut outbox));
+    assert!(!balancer.has_waiting_flows());
+}
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -203,6 +203,9 @@
         }
         let now = self.clock.now();
         self.forwarder.stop(now, &mut self.outbox);
+        if let CarryPart::Balancer(balancer) = &mut self.forwarder {
+            balancer.refuse_waiting_flows(&mut self.outbox);
+        }
         self.flush_outbox(now);
         let fields = json!({ "lost_datagrams": self.metrics.unsent_datagrams.get() });
         self.journal.write_process("stopped", fields, now);
@@ -509,6 +512,7 @@
                     elapsed,
                     refused_probe_count: refused_probe_count - self.refused_probes_before_stop,
                     quiet: balancer.quiet_time(now),
+                    has_waiting_flows: balancer.has_waiting_flows(),
                     limit,
                 }
                 .may_end()
