Find the pace of a server from its answers

The operators' wish: a server that has just started or recovered is flooded or left idle, and one that fails a part of its requests goes on getting flows. The host beside a server finds how many requests in progress it bears: two for each slot at its start, a quarter more with each good answer, up to three for each slot; less with slow answers, hanging requests and failures. On by `server_pace: true`.

--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -167,6 +167,13 @@
         /// The flow.
         flow: FlowKey,
     },
+    /// A host has found that its server bears more requests in progress, or fewer.
+    PaceChanged {
+        /// Number of requests in progress up to which the server gets new flows.
+        limit: u16,
+        /// Why it changed.
+        cause: PaceChangeCause,
+    },
     /// A datagram was dropped.
     Dropped {
         /// Why it was dropped.
@@ -225,11 +232,13 @@
     KeptAway,
     /// New flows that a host did not accept because its server is cold.
     ColdLimited,
+    /// Changes of the number of requests that a server bears.
+    PaceChanged,
 }
 
 impl EventKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Placed,
         Self::PassedOn,
         Self::Offered,
@@ -249,6 +258,7 @@
         Self::ZonesEvacuated,
         Self::KeptAway,
         Self::ColdLimited,
+        Self::PaceChanged,
     ];
 
     /// Returns the name of the counter.
@@ -273,6 +283,7 @@
             Self::ZonesEvacuated => "hyssopstair.zones.changes",
             Self::KeptAway => "hyssopstair.flow.kept_away",
             Self::ColdLimited => "hyssopstair.flow.cold_limited",
+            Self::PaceChanged => "hyssopstair.server.pace_changes",
         }
     }
 
@@ -298,6 +309,7 @@
             Self::ZonesEvacuated => "Changes of the emptied availability zones",
             Self::KeptAway => "New flows that a host of an emptied zone did not accept",
             Self::ColdLimited => "New flows that a host with a cold server did not accept",
+            Self::PaceChanged => "Changes of the number of requests that the server bears",
         }
     }
 }
@@ -325,6 +337,7 @@
             Self::ZonesEvacuated { .. } => EventKind::ZonesEvacuated,
             Self::KeptAway { .. } => EventKind::KeptAway,
             Self::ColdLimited { .. } => EventKind::ColdLimited,
+            Self::PaceChanged { .. } => EventKind::PaceChanged,
         }
     }
 }
@@ -391,6 +404,23 @@
     Connect,
 }
 
+/// Why a host accepts more or fewer requests in progress for its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PaceChangeCause {
+    /// The server has just started.
+    Started,
+    /// The server answered a request in its usual time.
+    GoodAnswer,
+    /// An answer took several times the usual time.
+    SlowAnswer,
+    /// Several answers in a row took a fraction of the usual time, as errors do.
+    FastAnswers,
+    /// A request has waited for many times the usual time.
+    Hanging,
+    /// The server closed a flow instead of answering, or did not answer at all.
+    Failure,
+}
+
 /// Why a datagram was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DropReason {
--- a/crates/flows/src/host/load.rs
+++ b/crates/flows/src/host/load.rs
@@ -7,6 +7,9 @@
 
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::host::pace::PaceChange;
+use crate::host::pace::ServerPace;
+
 /// Divisor that gives the weight of a new answer time in the exponential mean.
 const ANSWER_SMOOTHING_DIVISOR: u32 = 8;
 
@@ -30,19 +33,52 @@
     answer_micros: u32,
     mean_requests: f64,
     last_tick_at: MonotonicTime,
+    pace: ServerPace,
+    /// The last change of the pace that was not taken yet.
+    pace_change: Option<PaceChange>,
 }
 
 impl LoadMeter {
-    pub(super) fn new(now: MonotonicTime) -> Self {
+    /// Creates the meter of an idle server. `follows_pace` says whether the limit for new
+    /// flows is found from the server's answers.
+    pub(super) fn new(follows_pace: bool, now: MonotonicTime) -> Self {
         Self {
             request_count: 0,
             offers: Vec::new(),
             answer_micros: 0,
             mean_requests: 0.0,
             last_tick_at: now,
+            pace: ServerPace::new(follows_pace),
+            pace_change: None,
         }
     }
 
+    /// Returns the number of requests in progress up to which a server with this number of
+    /// slots gets new flows.
+    pub(super) fn limit(&self, slots: u16) -> u16 {
+        self.pace.limit(slots)
+    }
+
+    /// Returns whether the server may get a new flow now, by its pace.
+    pub(super) fn admits(&self, now: MonotonicTime) -> bool {
+        self.pace.admits(now)
+    }
+
+    /// Finds the pace anew for a server that has just started.
+    pub(super) fn restart_pace(&mut self, slots: u16) {
+        let change = self.pace.restart(slots);
+        self.record_pace_change(change);
+    }
+
+    /// Returns the last change of the pace, if there was one since the last call.
+    pub(super) fn take_pace_change(&mut self) -> Option<PaceChange> {
+        self.pace_change.take()
+    }
+
+    fn record_pace_change(&mut self, change: Option<PaceChange>) {
+        self.pace_change = change.or(self.pace_change);
+    }
+
     /// Returns the number of requests without an answer, plus new flows whose request is
     /// expected.
     pub(super) fn in_progress(&self, now: MonotonicTime) -> u16 {
@@ -74,6 +110,7 @@
             .offers
             .partition_point(|earlier| *earlier <= offered_at);
         self.offers.insert(index, offered_at);
+        self.pace.record_offer(offered_at);
     }
 
     /// Stops counting a new flow whose opening packet was delivered at `offered_at`.
@@ -83,13 +120,29 @@
         }
     }
 
-    pub(super) fn begin_request(&mut self) {
+    /// Counts a request that was delivered at `started_at`.
+    pub(super) fn begin_request(&mut self, started_at: MonotonicTime) {
         self.request_count = self.request_count.saturating_add(1);
+        self.pace.begin_request(started_at);
     }
 
-    /// Records the answer to a request and the time that it took.
-    pub(super) fn complete_request(&mut self, answer_time: Duration) {
-        self.discard_request();
+    /// Records the answer to a request that was delivered at `started_at`.
+    pub(super) fn complete_request(
+        &mut self,
+        started_at: MonotonicTime,
+        slots: u16,
+        now: MonotonicTime,
+    ) {
+        let elapsed = now.since(started_at);
+        let change = self
+            .pace
+            .record_answer(elapsed, self.request_count, slots, now);
+        self.record_pace_change(change);
+        self.discard_request(started_at);
+        self.record_answer_time(elapsed);
+    }
+
+    fn record_answer_time(&mut self, answer_time: Duration) {
         let answer_time = answer_time.as_micros().min(u128::from(u32::MAX / 2)) as u32;
         self.answer_micros = match self.answer_micros {
             0 => answer_time.max(1),
@@ -102,13 +155,36 @@
     /// Records a request whose flow the server closed instead of answering. The time that
     /// it took is not used: a server that fails at once would seem idle and fast, and
     /// would attract new flows.
-    pub(super) fn fail_request(&mut self) {
-        self.complete_request(FAILED_REQUEST_TIME);
+    pub(super) fn fail_request(
+        &mut self,
+        started_at: MonotonicTime,
+        slots: u16,
+        now: MonotonicTime,
+    ) {
+        let change = self.pace.record_failure(slots, now);
+        self.record_pace_change(change);
+        self.discard_request(started_at);
+        self.record_answer_time(FAILED_REQUEST_TIME);
+    }
+
+    /// Stops counting a request that the server has not answered in time. No answer time is
+    /// recorded.
+    pub(super) fn give_up_request(
+        &mut self,
+        started_at: MonotonicTime,
+        slots: u16,
+        now: MonotonicTime,
+    ) {
+        let change = self.pace.record_failure(slots, now);
+        self.record_pace_change(change);
+        self.discard_request(started_at);
     }
 
-    /// Stops counting a request without recording an answer time.
-    pub(super) fn discard_request(&mut self) {
+    /// Stops counting a request that was delivered at `started_at`, for a reason that says
+    /// nothing about the server.
+    pub(super) fn discard_request(&mut self, started_at: MonotonicTime) {
         self.request_count = self.request_count.saturating_sub(1);
+        self.pace.end_request(started_at);
     }
 
     /// Resets all counts when the server has ended or was replaced.
@@ -117,10 +193,13 @@
         self.offers.clear();
         self.answer_micros = 0;
         self.mean_requests = 0.0;
+        self.pace.clear();
     }
 
-    /// Updates the mean and drops expired offers.
-    pub(super) fn tick(&mut self, now: MonotonicTime) {
+    /// Updates the mean, drops expired offers and looks for requests that hang.
+    pub(super) fn tick(&mut self, slots: u16, now: MonotonicTime) {
+        let change = self.pace.check_hanging(slots, now);
+        self.record_pace_change(change);
         let elapsed_periods =
             now.since(self.last_tick_at).as_secs_f64() / MEAN_PERIOD.as_secs_f64();
         self.last_tick_at = now;
--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -12,6 +12,7 @@
 mod cold;
 mod load;
 mod opening;
+mod pace;
 mod peers;
 mod records;
 mod saved_flows;
@@ -71,6 +72,8 @@
     pub started_unix_millis: u64,
     /// Time without packets after which a flow is removed.
     pub max_flow_age: Duration,
+    /// Whether the number of requests that the server bears is found from its answers.
+    pub follows_pace: bool,
 }
 
 /// State and decisions of one host.
@@ -100,6 +103,7 @@
     /// Creates a host that sends its first hellos to `contacts`, the addresses of
     /// balancers.
     pub fn new(identity: HostIdentity, contacts: Vec<Ipv4Addr>, now: MonotonicTime) -> Self {
+        let follows_pace = identity.follows_pace;
         let mut host = Self {
             identity,
             created_at: now,
@@ -108,7 +112,7 @@
             members: MemberTable::default(),
             contacts: Vec::new(),
             flows: FlowTable::default(),
-            load: LoadMeter::new(now),
+            load: LoadMeter::new(follows_pace, now),
             cold: ColdLimiter::new(now),
             server: ServerMonitor::new(now),
             saved: SavedFlowState::new(now),
@@ -150,6 +154,11 @@
         self.load.in_progress(now)
     }
 
+    /// Returns the number of requests in progress up to which the server gets new flows.
+    pub fn request_limit(&self) -> u16 {
+        self.load.limit(self.slots())
+    }
+
     /// Returns the smoothed answer time of the server, in microseconds; 0 before the
     /// first answer.
     pub fn answer_micros(&self) -> u32 {
@@ -221,7 +230,13 @@
     /// silent peers.
     pub fn tick(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         self.last_tick_at = now;
-        self.load.tick(now);
+        self.load.tick(self.slots(), now);
+        if let Some(change) = self.load.take_pace_change() {
+            outbox.record_event(FlowEvent::PaceChanged {
+                limit: change.limit,
+                cause: change.cause,
+            });
+        }
         self.sweep_flows(now, outbox);
         self.save_due_flows(now, outbox);
         if now >= self.next_hello_at {
@@ -413,12 +428,12 @@
         }
         if record.record_delivered_data(&packet.header) && record.request_started_at.is_none() {
             record.request_started_at = Some(now);
-            self.load.begin_request();
+            self.load.begin_request(now);
         }
         if packet.header.is_finish || packet.header.is_reset {
             // The caller no longer waits for an answer.
-            if record.request_started_at.take().is_some() {
-                self.load.discard_request();
+            if let Some(started_at) = record.request_started_at.take() {
+                self.load.discard_request(started_at);
             }
             record.close_caller_side(packet.header.is_reset);
         }
@@ -465,7 +480,7 @@
             record.close_server_side(header.is_reset);
         }
         if let Some(request_started_at) = request_started_at {
-            self.finish_request(flow, now.since(request_started_at), is_answer, outbox);
+            self.finish_request(flow, request_started_at, is_answer, now, outbox);
         }
         if let Some(balancer) = balancer_to_notify {
             self.send_claim(*flow, balancer, now, outbox);
@@ -476,18 +491,21 @@
     fn finish_request(
         &mut self,
         flow: &FlowKey,
-        elapsed: Duration,
+        started_at: MonotonicTime,
         is_answer: bool,
+        now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
+        let slots = self.slots();
+        let elapsed = now.since(started_at);
         if is_answer {
-            self.load.complete_request(elapsed);
+            self.load.complete_request(started_at, slots, now);
             outbox.record_event(FlowEvent::Answered {
                 flow: *flow,
                 micros: elapsed.as_micros() as u32,
             });
         } else {
-            self.load.fail_request();
+            self.load.fail_request(started_at, slots, now);
             outbox.record_event(FlowEvent::Unanswered {
                 flow: *flow,
                 waited_millis: elapsed.as_millis() as u32,
--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -21,7 +21,6 @@
 use crate::host::records::FlowRecord;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
-use crate::room::MAX_REQUESTS_PER_SLOT;
 
 /// Assumed number of slots of a server before its first heartbeat.
 const DEFAULT_SLOTS: u16 = 2;
@@ -159,10 +158,14 @@
         if !self.cold.admits(cold_terms, now) {
             return OpeningVerdict::Cold;
         }
+        if !self.load.admits(now) {
+            return OpeningVerdict::Reject;
+        }
         let request_count = self.load.in_progress(now);
-        if request_count < self.slots() {
+        let limit = self.request_limit();
+        if request_count < self.slots().min(limit) {
             OpeningVerdict::Accept
-        } else if request_count < self.slots() * MAX_REQUESTS_PER_SLOT {
+        } else if request_count < limit {
             OpeningVerdict::Queue(request_count)
         } else {
             OpeningVerdict::Reject
--- a/crates/flows/src/host/records.rs
+++ b/crates/flows/src/host/records.rs
@@ -253,8 +253,8 @@
         if record.phase == FlowPhase::Offered {
             self.load.remove_offer(record.offered_at);
         }
-        if record.request_started_at.take().is_some() {
-            self.load.discard_request();
+        if let Some(started_at) = record.request_started_at.take() {
+            self.load.discard_request(started_at);
         }
         record.phase = phase;
     }
@@ -307,8 +307,8 @@
             if was_open && replaced_at.is_some_and(|replaced_at| record.offered_at >= replaced_at) {
                 if record.phase == FlowPhase::Offered {
                     self.load.add_offer(record.offered_at);
-                } else if record.request_started_at.is_some() {
-                    self.load.begin_request();
+                } else if let Some(started_at) = record.request_started_at {
+                    self.load.begin_request(started_at);
                 }
                 continue;
             }
@@ -331,14 +331,16 @@
     /// requests that the server has not answered in time.
     pub(super) fn sweep_flows(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         let max_idle_time = self.identity.max_flow_age;
+        let slots = self.slots();
         let load = &mut self.load;
         self.flows.sweep(SHARDS_PER_TICK, |flow, record| {
-            let waited = record
+            let overdue = record
                 .request_started_at
-                .map(|started_at| now.since(started_at));
-            if let Some(waited) = waited.filter(|waited| *waited >= REQUEST_TIMEOUT) {
+                .filter(|started_at| now.since(*started_at) >= REQUEST_TIMEOUT);
+            if let Some(started_at) = overdue {
+                let waited = now.since(started_at);
                 record.request_started_at = None;
-                load.discard_request();
+                load.give_up_request(started_at, slots, now);
                 outbox.record_event(FlowEvent::Unanswered {
                     flow: *flow,
                     waited_millis: waited.as_millis() as u32,
@@ -346,8 +348,8 @@
                 });
             }
             let keep = now.since(record.last_used_at) < record.retention(max_idle_time);
-            if !keep && record.request_started_at.is_some() {
-                load.discard_request();
+            if let Some(started_at) = record.request_started_at.filter(|_| !keep) {
+                load.discard_request(started_at);
             }
             keep
         });
@@ -363,8 +365,8 @@
     outbox: &mut FlowOutbox,
 ) {
     record.phase = FlowPhase::Absent;
-    if record.request_started_at.take().is_some() {
-        load.discard_request();
+    if let Some(started_at) = record.request_started_at.take() {
+        load.discard_request(started_at);
     }
     if record.balancer.is_unspecified() {
         return;
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -158,12 +158,14 @@
                 self.reset_flows_before(Some(replaced_at), outbox);
                 self.is_relearning = false;
                 self.server.started_at = Some(now);
+                self.load.restart_pace(heartbeat.slots.max(1));
             }
             HeartbeatOrder::InSequence if is_first && self.is_first_host_of(heartbeat, now) => {
                 // No earlier process beside the server can have opened a flow at it.
                 self.is_relearning = false;
                 self.deny_probed_flows(outbox);
                 self.server.started_at = Some(now);
+                self.load.restart_pace(heartbeat.slots.max(1));
             }
             HeartbeatOrder::InSequence => {}
         }
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -576,6 +576,7 @@
                 service,
                 started_unix_millis,
                 max_flow_age,
+                follows_pace: false,
             };
             let mut host = FlowHost::new(identity, contacts, now);
             host.set_routes(table, &mut self.outbox);
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -316,6 +316,11 @@
             "kept a new flow away from the cold server",
             json!({ "flow": format_flow(flow) }),
         ),
+        FlowEvent::PaceChanged { limit, cause } => (
+            "host",
+            "found another pace of the server",
+            json!({ "limit": limit, "cause": format!("{cause:?}") }),
+        ),
         FlowEvent::Dropped { reason } => (
             "process",
             "dropped a datagram",
--- a/crates/hyssopstaird/src/carry/metrics.rs
+++ b/crates/hyssopstaird/src/carry/metrics.rs
@@ -31,6 +31,8 @@
     pub peer_count: IntGauge,
     /// Version of the routes in force.
     pub routes_version: IntGauge,
+    /// Number of requests in progress up to which the server gets new flows.
+    pub request_limit: IntGauge,
     /// Number of emptied availability zones.
     pub evacuated_zones: IntGauge,
     /// The newest era that the store has reported.
@@ -81,6 +83,10 @@
                 "hyssopstair_routes_version",
                 "Version of the routes in force",
             )?,
+            request_limit: register_gauge(
+                "hyssopstair_server_pace",
+                "Requests in progress up to which the server gets new flows",
+            )?,
             evacuated_zones: register_gauge(
                 "hyssopstair_zones_evacuated",
                 "Availability zones that operators have emptied",
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -300,6 +300,11 @@
         self.metrics
             .flow_count
             .set(self.forwarder.flow_count() as i64);
+        if let CarryPart::Host(host) = &self.forwarder {
+            self.metrics
+                .request_limit
+                .set(i64::from(host.request_limit()));
+        }
         self.metrics
             .peer_count
             .set(self.forwarder.peer_count() as i64);
@@ -589,6 +594,7 @@
                 service: server.service.clone(),
                 started_unix_millis: unix_millis(),
                 max_flow_age,
+                follows_pace: settings.server_pace,
             };
             CarryPart::Host(Box::new(FlowHost::new(identity, contacts, now)))
         }
--- a/crates/rules/src/carry_settings.rs
+++ b/crates/rules/src/carry_settings.rs
@@ -56,6 +56,9 @@
     /// Whether operators may empty availability zones.
     #[serde(default)]
     pub evacuation: bool,
+    /// Whether a host finds from the answers of its server how many requests it bears.
+    #[serde(default)]
+    pub server_pace: bool,
     /// The backend server; required for a host.
     #[serde(default)]
     pub server: Option<ServerSettings>,
