--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -6,6 +6,8 @@
 //! - While the server of an open flow is running, no other process resets the flow, and
 //!   its packets reach no other server.
 //! - A server gets no new flows after its host has acknowledged that it is draining.
+//! - A server in a zone that operators have emptied gets no new flows until it is taken
+//!   back.
 //! - A new flow reaches a service that its route names in the newest configuration, or in
 //!   an older one that was replaced within the time that changes may take.
 //! - No process exits unexpectedly, and the version of its routes never decreases.
@@ -30,6 +32,9 @@
 /// Time after an acknowledged drain within which new flows may still arrive.
 const MAX_DRAIN_DELAY: Duration = Duration::from_secs(3);
 
+/// Time within which a request to empty a zone takes effect.
+const MAX_EVACUATION_DELAY: Duration = Duration::from_secs(5);
+
 /// Time within which a configuration takes effect.
 const MAX_CONFIGURATION_DELAY: Duration = Duration::from_secs(3);
 
@@ -147,6 +152,8 @@
     flows: Vec<TrackedFlow>,
     /// Routes of all configurations, oldest first.
     routes: Vec<ConfiguredRoutes>,
+    /// The emptied zone, and when operators have asked for it.
+    evacuation: Option<(u8, Instant)>,
     /// Address, incarnation and last version of the routes of each process, sorted by
     /// address.
     versions: Vec<(Ipv4Addr, u32, u64)>,
@@ -170,6 +177,7 @@
             any_disturbance_until: now,
             flows: Vec::new(),
             routes: Vec::new(),
+            evacuation: None,
             versions: Vec::new(),
             tally: SoakTally::default(),
             final_tally: SoakTally::default(),
@@ -290,6 +298,27 @@
         }
     }
 
+    /// Records which zone is emptied from now on, if any.
+    pub fn record_evacuation(&mut self, now: Instant, zone: Option<u8>) {
+        self.evacuation = zone.map(|zone| (zone, now));
+    }
+
+    /// Checks a new flow at a server in a zone.
+    pub fn check_evacuation(&mut self, now: Instant, zone: u8, host: Ipv4Addr) {
+        let Some((_, requested_at)) = self.evacuation.filter(|(emptied, _)| *emptied == zone)
+        else {
+            return;
+        };
+        let is_late = now.duration_since(requested_at) > MAX_EVACUATION_DELAY;
+        let is_system_undisturbed = now >= self.any_disturbance_until + RECOVERY_TIME;
+        if is_late && is_system_undisturbed && self.is_undisturbed(host, now) {
+            self.record_finding(
+                now,
+                &format!("{host} received a flow in emptied zone z{zone}"),
+            );
+        }
+    }
+
     /// Records that a flow is open at the server beside `owner`.
     pub fn record_open_flow(&mut self, key: FlowKey, owner: Ipv4Addr) {
         let flow = TrackedFlow {
--- a/crates/soak/src/fleet/events.rs
+++ b/crates/soak/src/fleet/events.rs
@@ -15,6 +15,7 @@
 use crate::network::INNER_BIND_PORT;
 use crate::network::PACKET_PORT;
 use crate::plan::SoakEvent;
+use crate::program::ZONE_COUNT;
 use crate::relay::ConnectionFault;
 use crate::relay::LinkFaults;
 
@@ -93,9 +94,39 @@
                 self.restore_store(age, change_count, duration)
             }
             SoakEvent::WriteConfiguration => self.write_configuration(),
+            SoakEvent::EvacuateZone(zone) => self.evacuate_zone(zone, duration),
         }
     }
 
+    /// Empties a zone for a while.
+    fn evacuate_zone(&self, zone: u8, duration: Duration) {
+        *self.evacuated_zone.borrow_mut() = Some(zone);
+        self.rewrite_evacuation();
+        let fleet = self.clone();
+        spawn_local(async move {
+            sleep(duration).await;
+            *fleet.evacuated_zone.borrow_mut() = None;
+            fleet.rewrite_evacuation();
+        });
+    }
+
+    /// Makes the operators' keys in the store name the emptied zone and no other, also if the
+    /// store has lost them or has brought one back.
+    fn rewrite_evacuation(&self) {
+        let evacuated = *self.evacuated_zone.borrow();
+        for zone in 0..ZONE_COUNT {
+            let key = format!("op/evacuate/z{zone}");
+            if Some(zone) == evacuated {
+                self.store.write(&key, b"{}");
+            } else {
+                self.store.remove(&key);
+            }
+        }
+        self.checker
+            .borrow_mut()
+            .record_evacuation(Instant::now(), evacuated);
+    }
+
     /// Kills all processes and schedules their restarts at different times.
     fn kill_all_processes(&self, now: Instant) {
         let count = self.members.borrow().len();
@@ -264,6 +295,7 @@
         } else {
             self.write_configuration();
         }
+        self.rewrite_evacuation();
         for number in 0..change_count {
             self.store.write("others/key", &[number]);
         }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -84,6 +84,8 @@
     configuration: Rc<RefCell<Value>>,
     /// Number of configurations that were written.
     configuration_version: Rc<RefCell<u64>>,
+    /// The zone that operators have emptied, if there is one.
+    evacuated_zone: Rc<RefCell<Option<u8>>>,
     random: Rc<RefCell<SmallRng>>,
 }
 
@@ -118,6 +120,7 @@
             store_copies: Rc::default(),
             configuration: Rc::default(),
             configuration_version: Rc::new(RefCell::new(0)),
+            evacuated_zone: Rc::default(),
             random: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))),
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -6,6 +6,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::program::ZONE_COUNT;
+
 /// Time before the first event, in which the processes discover each other.
 const WARM_UP_TIME: Duration = Duration::from_secs(4);
 
@@ -19,6 +21,16 @@
 /// that they leave the other events of a seed as they are.
 const RESTORE_SEED: u64 = 0xc0b1;
 
+/// Number by which the seed of the evacuation differs from that of the plan.
+const EVACUATION_SEED: u64 = 0xe7ac;
+
+/// Time before the end of a run at which an emptied zone is taken back.
+const EVACUATION_END: Duration = Duration::from_millis(1_500);
+
+/// Minimum number of hosts of a fleet whose zones are emptied: each service then has hosts in
+/// the other zones.
+const MIN_EVACUATION_HOSTS: usize = 6;
+
 /// Number of processes for each balancer, including the balancer itself. A run has at
 /// least two balancers.
 const PROCESSES_PER_BALANCER: u16 = 3;
@@ -72,6 +84,8 @@
     RestoreStore(Duration, u8),
     /// Writes the next configuration.
     WriteConfiguration,
+    /// Empties an availability zone, and takes it back at the end of the duration.
+    EvacuateZone(u8),
 }
 
 /// An event with its time and duration.
@@ -133,6 +147,9 @@
             at += Duration::from_millis(random.random_range(50..=max_gap_millis));
         }
         events.extend(choose_restores(seed, end));
+        if host_count >= MIN_EVACUATION_HOSTS {
+            events.push(choose_evacuation(seed, run_time));
+        }
         events.sort_by_key(|timed| timed.at);
         Self {
             seed,
@@ -163,6 +180,19 @@
         .collect()
 }
 
+/// Returns the event that empties a zone, some seconds before the others end until shortly
+/// before the end of the run, so that it is in force in a time without faults as well.
+fn choose_evacuation(seed: u64, run_time: Duration) -> TimedEvent {
+    let mut random = SmallRng::seed_from_u64(seed ^ EVACUATION_SEED);
+    let lead = Duration::from_millis(random.random_range(1_000..=4_000u64));
+    let at = run_time.saturating_sub(EVENT_FREE_PERIOD + lead);
+    TimedEvent {
+        at,
+        duration: run_time.saturating_sub(at + EVACUATION_END),
+        event: SoakEvent::EvacuateZone(random.random_range(0..ZONE_COUNT)),
+    }
+}
+
 fn choose_event(random: &mut SmallRng, balancer_count: usize, host_count: usize) -> SoakEvent {
     let process = random.random_range(0..balancer_count + host_count);
     let balancer = random.random_range(0..balancer_count);
--- a/crates/soak/src/program.rs
+++ b/crates/soak/src/program.rs
@@ -27,6 +27,9 @@
 use crate::network::SERVER_PORT;
 use crate::network::SoakNetwork;
 
+/// Number of availability zones that the processes are in.
+pub const ZONE_COUNT: u8 = 3;
+
 /// The role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProcessRole {
@@ -174,6 +177,11 @@
     }
 }
 
+/// Returns the number of the availability zone of a process.
+pub fn zone_of_process(number: usize) -> u8 {
+    (number % usize::from(ZONE_COUNT)) as u8
+}
+
 /// Returns the settings of a process, with `{service}` in place of the name of the service.
 fn build_settings_template(
     network: &SoakNetwork,
@@ -198,8 +206,9 @@
         "name: {role_name}-{number}\nrole: {role_name}\nzone: z{}\npackets: {address}:{PACKET_PORT}\n\
          readiness: {address}:{READINESS_PORT}\nmetrics: {address}:{METRICS_PORT}\n\
          inner_ports: [{INNER_PORT}, {INNER_PORT}]\ninner_bind: {INNER_BIND_PORT}\n\
-         contacts: [{}]\nstore: {}\nmax_flow_seconds: 60\ngrace_seconds: 6\n{server}",
-        number % 3,
+         contacts: [{}]\nstore: {}\nmax_flow_seconds: 60\ngrace_seconds: 6\n\
+         evacuation: true\nserver_pace: true\n{server}",
+        zone_of_process(number),
         contacts.join(", "),
         network.store_relay_address(address),
     )
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,6 +31,7 @@
 use crate::plan::SoakPlan;
 use crate::program::ProcessRole;
 use crate::program::SoakProcess;
+use crate::program::zone_of_process;
 use crate::relay::SoakRelay;
 use crate::router::SoakRouter;
 use crate::server::SoakServer;
@@ -176,7 +177,10 @@
             .change_context_lazy(context)?;
     }
     let servers = (0..plan.host_count)
-        .map(|host| SoakServer::new(network.host_address(host), Rc::clone(checker)))
+        .map(|host| {
+            let zone = zone_of_process(plan.balancer_count + host);
+            SoakServer::new(network.host_address(host), zone, Rc::clone(checker))
+        })
         .collect();
     Ok(SoakFleet::new(
         processes,
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -97,6 +97,7 @@
 #[derive(Debug, Clone)]
 pub struct SoakServer {
     address: Ipv4Addr,
+    zone: u8,
     checker: Rc<RefCell<SoakChecker>>,
     /// The current incarnation; `None` if the server is not running.
     incarnation: Rc<RefCell<Option<ServerIncarnation>>>,
@@ -105,10 +106,11 @@
 }
 
 impl SoakServer {
-    /// Creates a server that is not running.
-    pub fn new(address: Ipv4Addr, checker: Rc<RefCell<SoakChecker>>) -> Self {
+    /// Creates a server in an availability zone that is not running.
+    pub fn new(address: Ipv4Addr, zone: u8, checker: Rc<RefCell<SoakChecker>>) -> Self {
         Self {
             address,
+            zone,
             checker,
             incarnation: Rc::default(),
             incarnation_count: Rc::default(),
@@ -303,6 +305,7 @@
         if let Some(acknowledged_at) = incarnation.drain_acknowledged_at {
             checker.check_drain(now, acknowledged_at, self.address);
         }
+        checker.check_evacuation(now, self.zone, self.address);
         let octets = self.address.octets();
         let stream_start = (incarnation.number as u32) << 24
             | u32::from(octets[3]) << 16
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -74,6 +74,7 @@
         9747 ms RestoreStore(4.862s, 11)
         9957 ms Stop(2)
         10091 ms Kill(3)
+        10165 ms EvacuateZone(0)
         10699 ms WriteConfiguration
         10988 ms LosePower"#]]
     .assert_eq(&events.join("\n"));
