Check a rule file or a configuration before it is sent

`hyssopstair check` listed the errors of a rule file. The parsers and the difference are those that the code had.

Measured: new tests of the remarks, of the configuration and of the command's report.

--- a/crates/hyssopstair/src/ops/mod.rs
+++ b/crates/hyssopstair/src/ops/mod.rs
@@ -4,6 +4,7 @@
 pub mod apply;
 pub mod change;
 pub mod change_report;
+pub mod check;
 pub mod confirm;
 pub mod daemon;
 pub mod diff;
--- a/crates/hyssopstair/tests/answers.rs
+++ b/crates/hyssopstair/tests/answers.rs
@@ -1,8 +1,11 @@
 //! Tests the text that commands print for operators.
 
+use std::path::Path;
+
 use expect_test::expect;
 use hyssopstair::ops::apply::split_version_line;
 use hyssopstair::ops::change_report::describe_outcome;
+use hyssopstair::ops::check::check_text;
 use hyssopstair::ops::daemon::DaemonStatus;
 use hyssopstair::ops::diff::diff_text;
 use hyssopstair::ops::explain::explain_flow;
@@ -146,3 +149,34 @@
         + weight leerplein ame-b 60  # M. Jansen"#]]
     .assert_eq(&diff_text(RULES, &new).join("\n"));
 }
+
+#[test]
+fn a_check_lists_findings_and_differences_of_rules_and_configurations() {
+    let path = Path::new("new.rules");
+    let changed = format!("# version 7\n{RULES}drain 127.1.2.3:7000  # M. Jansen\n");
+    let report = check_text(path, &changed, Some(RULES)).expect("a valid file");
+    expect![[r#"
+        {"summary":"1 services, 1 drained hosts, 0 evacuated zones, 0 keys","findings":[{"place":"line 7","kind":"NeverMatches","reason":"repeats line 5"}],"differences":["line 6:","+ drain 127.1.2.3:7000  # M. Jansen"]}"#]]
+    .assert_eq(&serde_json::to_string(&report).expect("JSON"));
+
+    let old = r#"{"version":3,"routes":[],"services":[]}"#;
+    let new = r#"{"version":4,"routes":[{"host":"a"}],"services":[]}"#;
+    let report = check_text(path, new, Some(old)).expect("a valid file");
+    expect![[r#"
+        version 4, 1 routes, 0 services
+        routes[0] Unusable: it is no route that can be used"#]]
+    .assert_eq(&format!(
+        "{}\n{} {}: {}",
+        report.summary,
+        report.findings[0].place,
+        report.findings[0].kind,
+        report.findings[0].reason
+    ));
+    assert!(
+        report
+            .differences
+            .iter()
+            .any(|line| line.contains("\"version\": 4"))
+    );
+    assert!(check_text(path, "{\"version\":", None).is_err());
+}
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod hint;
 pub mod line;
+pub mod review;
 pub mod rule;
 pub mod rule_set;
 pub mod service_rule;
