Create balancer and host from the settings beside their common interface

No decision changes; a failed request is now given up and its time recorded by the functions that exist for both.

--- a/crates/flows/src/host/load.rs
+++ b/crates/flows/src/host/load.rs
@@ -161,9 +161,7 @@
         slots: u16,
         now: MonotonicTime,
     ) {
-        let change = self.pace.record_failure(slots, now);
-        self.record_pace_change(change);
-        self.discard_request(started_at);
+        self.give_up_request(started_at, slots, now);
         self.record_answer_time(FAILED_REQUEST_TIME);
     }
 
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -2,17 +2,23 @@
 
 use std::net::Ipv4Addr;
 
+use hyssopstair_flows::balancer::BalancerIdentity;
 use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::evacuation::EvacuatedZones;
 use hyssopstair_flows::host::FlowHost;
+use hyssopstair_flows::host::HostIdentity;
 use hyssopstair_flows::members::BalancerRecord;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_flows::packet::RawPacket;
 use hyssopstair_flows::routes::RouteTable;
+use hyssopstair_rules::carry_settings::CarryRole;
+use hyssopstair_rules::carry_settings::CarrySettings;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::StoreEra;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::clock::unix_millis;
+
 /// The forwarding logic of a process: a balancer or a host.
 #[derive(Debug)]
 pub enum CarryPart {
@@ -23,6 +29,39 @@
 }
 
 impl CarryPart {
+    /// Creates the balancer or the host that the settings describe.
+    pub fn from_settings(settings: &CarrySettings, now: MonotonicTime) -> Self {
+        let address = *settings.packets.ip();
+        let contacts: Vec<Ipv4Addr> = settings
+            .contacts
+            .iter()
+            .map(|contact| *contact.ip())
+            .collect();
+        let max_flow_age = settings.max_flow_age();
+        match &settings.server {
+            Some(server) if settings.role == CarryRole::Host => {
+                let identity = HostIdentity {
+                    address,
+                    zone: settings.zone.clone(),
+                    service: server.service.clone(),
+                    started_unix_millis: unix_millis(),
+                    max_flow_age,
+                    follows_pace: settings.server_pace,
+                };
+                Self::Host(Box::new(FlowHost::new(identity, contacts, now)))
+            }
+            _ => {
+                let identity = BalancerIdentity {
+                    address,
+                    zone: settings.zone.clone(),
+                    started_unix_millis: unix_millis(),
+                    max_flow_age,
+                };
+                Self::Balancer(Box::new(FlowBalancer::new(identity, contacts, now)))
+            }
+        }
+    }
+
     /// Handles a packet of a flow: a balancer receives it from a caller, a host from
     /// its server.
     pub fn receive_packet(
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -13,15 +13,11 @@
 use hyssopstair_adapter::packet::clear_bounced_flag;
 use hyssopstair_adapter::packet::decode_header;
 use hyssopstair_adapter::packet::encode_reset;
-use hyssopstair_flows::balancer::BalancerIdentity;
-use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::balancer::SaveRequest;
 use hyssopstair_flows::drain::DrainProgress;
 use hyssopstair_flows::event::DropReason;
 use hyssopstair_flows::event::FlowEvent;
 use hyssopstair_flows::heartbeat::HeartbeatVerdict;
-use hyssopstair_flows::host::FlowHost;
-use hyssopstair_flows::host::HostIdentity;
 use hyssopstair_flows::outbox::Destination;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_flows::packet::RawPacket;
@@ -134,7 +130,7 @@
         if let Some(server) = &settings.server {
             call_server.start(server.heartbeats).await?;
         }
-        let forwarder = create_forwarder(&settings, clock.now());
+        let forwarder = CarryPart::from_settings(&settings, clock.now());
         let (save_sender, save_receiver) = mpsc::channel(1);
         let mut process = Self {
             settings_path: path.to_owned(),
@@ -577,35 +573,3 @@
         _ => settings.packets,
     }
 }
-
-fn create_forwarder(settings: &CarrySettings, now: MonotonicTime) -> CarryPart {
-    let address = *settings.packets.ip();
-    let contacts: Vec<Ipv4Addr> = settings
-        .contacts
-        .iter()
-        .map(|contact| *contact.ip())
-        .collect();
-    let max_flow_age = settings.max_flow_age();
-    match &settings.server {
-        Some(server) if settings.role == CarryRole::Host => {
-            let identity = HostIdentity {
-                address,
-                zone: settings.zone.clone(),
-                service: server.service.clone(),
-                started_unix_millis: unix_millis(),
-                max_flow_age,
-                follows_pace: settings.server_pace,
-            };
-            CarryPart::Host(Box::new(FlowHost::new(identity, contacts, now)))
-        }
-        _ => {
-            let identity = BalancerIdentity {
-                address,
-                zone: settings.zone.clone(),
-                started_unix_millis: unix_millis(),
-                max_flow_age,
-            };
-            CarryPart::Balancer(Box::new(FlowBalancer::new(identity, contacts, now)))
-        }
-    }
-}
