Take the emptied zones of a watch only if the store's history has gone on

Found by reading: a watch whose response came from the next era of the store advanced the former set of emptied zones to a position of that era before the response was judged. The list that is read then replaces it only at a later position; if nothing was written in between, a zone that the store had lost would have stayed emptied. The set is now taken after the verdict.

--- a/crates/hyssopstaird/src/carry/configuration_watch.rs
+++ b/crates/hyssopstaird/src/carry/configuration_watch.rs
@@ -121,7 +121,14 @@
             () = self.eras.wait_for_newer(known.position.era) => return Err(StoreError::Restored),
         };
         match known.position.judge_response(news.state.position) {
-            HistoryVerdict::Continued => Ok(news),
+            HistoryVerdict::Continued => {
+                if self.reads_evacuations {
+                    let evacuated = news.state.evacuated.clone();
+                    self.send_command(CarryCommand::SetEvacuation(evacuated))
+                        .await;
+                }
+                Ok(news)
+            }
             HistoryVerdict::Restored | HistoryVerdict::Outdated => Err(StoreError::Restored),
         }
     }
@@ -213,9 +220,9 @@
         true
     }
 
-    /// Waits for a change after a position, and applies the newest configuration and the
-    /// changes of the emptied zones. Changes that were made before the position in another
-    /// history are missing.
+    /// Waits for a change after a position, and applies the newest configuration. Returns the
+    /// emptied zones after the changes, which are complete only if the history has gone on:
+    /// changes that were made before the position in another history are missing.
     async fn wait_for_change(
         &self,
         connection: &mut StoreConnection,
@@ -241,11 +248,7 @@
                 .apply_evacuation(item, is_present, &mut evacuated)
                 .await;
         }
-        if self.reads_evacuations {
-            evacuated.advance(position);
-            self.send_command(CarryCommand::SetEvacuation(evacuated.clone()))
-                .await;
-        }
+        evacuated.advance(position);
         // The prefix of a watch also matches keys that are longer.
         let newest_item = items
             .items
