--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -19,6 +19,7 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::balancer::FlowBalancer;
+use crate::balancer::FlowHint;
 use crate::balancer::SaveRequest;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
@@ -322,23 +323,21 @@
 
     /// Sends a host the flows that it owns, without those that have finished.
     fn send_flows_of(&self, host: Ipv4Addr, outbox: &mut FlowOutbox) {
-        let flows: Vec<FlowKey> = self
-            .hints
-            .iter()
-            .filter(|(_, hint)| hint.owner == host && !hint.is_finished)
-            .map(|(flow, _)| *flow)
-            .collect();
+        let flows = self.flows_owned_by(host, |hint| !hint.is_finished);
         send_flows(host, &flows, host, outbox);
     }
 
-    fn remove_hints_of(&mut self, host: Ipv4Addr) {
-        let flows: Vec<FlowKey> = self
-            .hints
+    /// Returns the flows of `host` whose hints `keep` returns true for.
+    fn flows_owned_by(&self, host: Ipv4Addr, keep: impl Fn(&FlowHint) -> bool) -> Vec<FlowKey> {
+        self.hints
             .iter()
-            .filter(|(_, hint)| hint.owner == host)
+            .filter(|(_, hint)| hint.owner == host && keep(hint))
             .map(|(flow, _)| *flow)
-            .collect();
-        for flow in flows {
+            .collect()
+    }
+
+    fn remove_hints_of(&mut self, host: Ipv4Addr) {
+        for flow in self.flows_owned_by(host, |_| true) {
             self.hints.remove(&flow);
         }
     }
