Let a starting host greet the balancers that it has not met

Cause: after an outage processes start within 0.4 s of each other, in any order. A host whose first hello found a balancer still down was unknown to it until the next regular hello, 250 ms later with ten hosts, 570 ms with 57. Change: in its first second a host repeats its hello to unknown balancers in each tick, 32 at a time.

--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -251,6 +251,8 @@
                     silent_millis: silence.as_millis() as u32,
                 });
             }
+        } else {
+            self.greet_unknown_balancers(now, outbox);
         }
         if now.since(self.created_at) >= self.identity.max_flow_age {
             self.is_relearning = false;
--- a/crates/flows/src/host/peers.rs
+++ b/crates/flows/src/host/peers.rs
@@ -4,6 +4,7 @@
 //! are sent at regular intervals, and at the next tick after a change.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use hyssopstair_wire::carried::CarryLoad;
 use hyssopstair_wire::carried::CarryMessage;
@@ -24,6 +25,13 @@
 use crate::packet::RawPacket;
 use crate::routes::RouteTable;
 
+/// Time after its start for which a host greets unknown balancers in each tick. Processes
+/// that start after the same outage start within this time.
+const GREETING_PERIOD: Duration = Duration::from_secs(1);
+
+/// Maximum number of greetings in a tick, so that a host does not flood a large fleet.
+const MAX_GREETINGS: usize = 32;
+
 impl FlowHost {
     /// Handles a message from a peer. `payload` holds the bytes that follow the message,
     /// and `packet` the packet parsed from them, if they are one.
@@ -143,6 +151,32 @@
         }
     }
 
+    /// Sends hellos to contacts that have not been met, in turn, while the host is starting.
+    /// After an outage a balancer may start later than the host, and would otherwise learn of
+    /// it only from the next regular hello.
+    pub(super) fn greet_unknown_balancers(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
+        if now.since(self.created_at) >= GREETING_PERIOD {
+            return;
+        }
+        let unknown: Vec<Ipv4Addr> = self
+            .contacts
+            .iter()
+            .copied()
+            .filter(|contact| !self.members.has_balancer(*contact))
+            .collect();
+        if unknown.is_empty() {
+            return;
+        }
+        self.hello_number += 1;
+        let hello = CarryMessage::Hello(self.build_hello(true, now));
+        let extension = self.build_hello_extension();
+        let start = self.hello_number as usize * MAX_GREETINGS % unknown.len();
+        let in_turn = unknown.iter().cycle().skip(start);
+        for contact in in_turn.take(unknown.len().min(MAX_GREETINGS)) {
+            outbox.enqueue_message(*contact, &hello, &extension);
+        }
+    }
+
     /// Returns the fields that follow a hello. The era of the store is left to balancers, which
     /// call it.
     fn build_hello_extension(&self) -> Vec<u8> {
