Keep a readiness probe waiting while a balancer starts

Ruled out: being ready at once after a full outage (TABLE_SYNC_DELAY 0) adds nothing beside this. Change: a starting process answers a probe when it is ready, at most 200 ms later.

--- a/crates/flows/tests/greeting.rs
+++ b/crates/flows/tests/greeting.rs
@@ -110,8 +110,6 @@
     }
     greeted.sort_by_key(|destination| format!("{destination:?}"));
     greeted.dedup();
-    expect!["[32, 32, 32, 32], 100 balancers"].assert_eq(&format!(
-        "{counts:?}, {} balancers",
-        greeted.len()
-    ));
+    expect!["[32, 32, 32, 32], 100 balancers"]
+        .assert_eq(&format!("{counts:?}, {} balancers", greeted.len()));
 }
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyssopstair_flows::balancer::SaveRequest;
 use hyssopstair_flows::evacuation::EvacuatedZones;
@@ -17,7 +18,9 @@
 use hyssopstair_flows::saved_flows::SavedFlowList;
 use hyssopstair_flows::store_position::StorePosition;
 use hyssopstair_flows::watch_schedule::WatchSchedule;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 /// Capacity of the command queue; a sender waits while the queue is full.
 pub const COMMAND_QUEUE_CAPACITY: usize = 64;
@@ -105,6 +108,9 @@
 #[derive(Debug, Default)]
 struct StatusCells {
     is_ready: AtomicBool,
+    /// Whether the process has been ready before.
+    was_ready: AtomicBool,
+    became_ready: Notify,
     routes_version: AtomicU64,
     balancer_count: AtomicU64,
     lower_balancer_count: AtomicU64,
@@ -117,6 +123,17 @@
         self.inner.is_ready.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the process is ready for traffic. While it is starting, waits for at
+    /// most `max_wait` until it is.
+    pub async fn wait_while_starting(&self, max_wait: Duration) -> bool {
+        // Created before the check, so that no notification is missed in between.
+        let became_ready = self.inner.became_ready.notified();
+        if !self.is_ready() && !self.inner.was_ready.load(Ordering::Relaxed) {
+            let _ = timeout(max_wait, became_ready).await;
+        }
+        self.is_ready()
+    }
+
     /// Counts a readiness probe that was answered in the negative.
     pub fn record_refused_probe(&self) {
         self.inner
@@ -159,6 +176,9 @@
     ) {
         let lower_count = balancers.partition_point(|record| record.peer.address < address);
         self.inner.is_ready.store(is_ready, Ordering::Relaxed);
+        if is_ready && !self.inner.was_ready.swap(true, Ordering::Relaxed) {
+            self.inner.became_ready.notify_waiters();
+        }
         self.inner
             .routes_version
             .store(routes_version, Ordering::Relaxed);
--- a/crates/hyssopstaird/src/carry/http.rs
+++ b/crates/hyssopstaird/src/carry/http.rs
@@ -41,6 +41,10 @@
 /// are used up, and would otherwise be retried in a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Longest time for which a starting process keeps a readiness probe waiting. Routers probe
+/// twice a second, so an answer in the negative costs callers up to half a second more.
+const MAX_PROBE_WAIT: Duration = Duration::from_millis(200);
+
 const METRICS_PATH: &str = "/metrics";
 
 /// Answers HTTP calls. A clone is started for each address.
@@ -106,11 +110,7 @@
         }
         let call = calls::decode_call(request.method().as_str(), request.uri().path());
         let status = match call {
-            Some(InboundCall::Readiness) if self.status.is_ready() => StatusCode::OK,
-            Some(InboundCall::Readiness) => {
-                self.status.record_refused_probe();
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Some(InboundCall::Readiness) => self.answer_probe().await,
             Some(InboundCall::Heartbeat { id }) => self.handle_heartbeat(&id, request).await,
             Some(InboundCall::Deregistration { id }) => self.handle_deregistration(id).await,
             None => StatusCode::NOT_FOUND,
@@ -124,6 +124,15 @@
         Ok(response)
     }
 
+    async fn answer_probe(&self) -> StatusCode {
+        if self.status.wait_while_starting(MAX_PROBE_WAIT).await {
+            StatusCode::OK
+        } else {
+            self.status.record_refused_probe();
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
+
     async fn handle_heartbeat(&self, id: &str, request: Request<Incoming>) -> StatusCode {
         let body = Limited::new(request.into_body(), MAX_BODY_BYTES)
             .collect()
