Save the flows of a host sooner, and again when one in 32 is missing

Cause: a flow that its host's list does not name is found lost only by its caller's next request, and an order on it is then lost. Change: flows are saved from an age of 0.3 s instead of 1 s, when one in 32 instead of 8 is not covered; balancers collect for 0.3 s instead of 1 s.

--- a/crates/flows/src/balancer/saved_flows.rs
+++ b/crates/flows/src/balancer/saved_flows.rs
@@ -19,7 +19,7 @@
 const MAX_SAVE_BATCH: usize = 32;
 
 /// Time for which parts are collected.
-const COLLECT_TIME: Duration = Duration::from_secs(1);
+const COLLECT_TIME: Duration = Duration::from_millis(300);
 
 /// Maximum number of parts that wait. Hosts send rejected ones again.
 const MAX_WAITING_PARTS: usize = 256;
--- a/crates/flows/src/host/saved_flows.rs
+++ b/crates/flows/src/host/saved_flows.rs
@@ -24,10 +24,10 @@
 use crate::store_position::KnownEra;
 
 /// Interval at which the host checks whether its flows are to be saved.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Age from which a flow is saved. Flows that end with their first request are younger.
-const MIN_FLOW_AGE: Duration = Duration::from_secs(1);
+const MIN_FLOW_AGE: Duration = Duration::from_millis(300);
 
 /// What a host saves, and what its former process has saved.
 #[derive(Debug)]
--- a/crates/flows/src/saved_flows.rs
+++ b/crates/flows/src/saved_flows.rs
@@ -46,7 +46,7 @@
 const MIN_SAVE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// A list is saved again if one flow in this many is not covered by the last one.
-const UNCOVERED_DIVISOR: usize = 8;
+const UNCOVERED_DIVISOR: usize = 32;
 
 /// Distance, in bytes of the server's stream, from which a saved position no longer covers
 /// a flow: half of the distance at which callers ignore a reset, since the flow moves on
