Do not let hosts that end when power returns hold up resets

When power returns, the machines of five servers that had left run for a moment: their hosts say hello, know no server, and end. Balancers took each for one whose server may hold flows, and peers that had met more of them for better informed: no flow of before the outage was reset from 36.6 to 39.6 s, and orders on them were lost. Ruled out: the time from the store's return to routes in force, which is 0.02 to 0.07 s (the 0.57 s seen before was the time at which lines are written); a shorter time until a silent host counts as gone, which would also end the flows of hosts that restart. Change: after an outage of all servers, a host that does not know a server has none that holds flows, unless there is one for less than four hosts with a new server. Such a host counts neither as a possible owner nor as one that a peer reaches, and holds up a search only until its second question is unanswered. While one server is old, everything is as before.

--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -20,7 +20,6 @@
 use hyssopstair_wire::carried::FlowQuestion;
 use hyssopstair_wire::carried::ForwardPurpose;
 use hyssopstair_wire::carried::MAX_QUESTIONS;
-use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::balancer::FlowBalancer;
@@ -79,10 +78,6 @@
 /// host. It can be shorter because no server holds a flow from before the outage.
 const OUTAGE_SETTLE_TIME: Duration = Duration::from_millis(50);
 
-/// Minimum number of hosts with a server, all of them new, that indicates a full
-/// outage.
-const MIN_OUTAGE_HOSTS: usize = 3;
-
 /// A search for the owner of one flow.
 #[derive(Debug, Clone)]
 pub(super) struct PendingSearch {
@@ -156,15 +151,20 @@
     }
 
     /// Removes the unanswered hosts that cannot hold the flow: those that have been
-    /// silent for too long, and those whose last hello reported that their server is
-    /// down, if their next hello is overdue or they were queried again without an answer.
-    fn remove_gone_hosts(&mut self, members: &MemberTable, now: MonotonicTime) {
+    /// silent for too long, and those of which no server that holds flows is known, if
+    /// their next hello is overdue or they were queried again without an answer.
+    fn remove_gone_hosts(
+        &mut self,
+        members: &MemberTable,
+        is_after_outage: bool,
+        now: MonotonicTime,
+    ) {
         let overdue_after = members.timeouts().overdue_after();
         let is_retried = self.is_retried;
         self.unanswered.retain(|host| {
             members.host(*host).is_some_and(|record| {
                 let is_overdue = is_retried || now.since(record.peer.last_seen_at) >= overdue_after;
-                let is_gone = is_overdue && record.server == ServerState::Down;
+                let is_gone = is_overdue && !record.may_have_older_server(is_after_outage);
                 record.may_hold_flows(now) && !is_gone
             })
         });
@@ -327,6 +327,7 @@
     pub(super) fn advance_searches(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         let round_timeout = self.reply_time.timeout(ROUND_TIMEOUT);
         let retry_interval = self.reply_time.timeout(RETRY_INTERVAL);
+        let is_after_outage = self.members.is_after_full_outage();
         for index in (0..self.searches.len()).rev() {
             let search = &mut self.searches[index];
             if now.since(search.started_at) >= SEARCH_TIMEOUT {
@@ -337,7 +338,7 @@
             if now.since(search.last_query_at) >= round_timeout {
                 search.time_out_round();
             }
-            search.remove_gone_hosts(&self.members, now);
+            search.remove_gone_hosts(&self.members, is_after_outage, now);
             if now.since(search.last_query_at) >= retry_interval && search.remaining.is_empty() {
                 search.remaining = std::mem::take(&mut search.unanswered);
                 search.is_retried = true;
@@ -508,7 +509,7 @@
     /// Returns whether all hosts are taken as known, because none was discovered
     /// recently.
     pub(super) fn is_discovery_complete(&self, now: MonotonicTime) -> bool {
-        if self.is_after_full_outage() {
+        if self.members.is_after_full_outage() {
             return self
                 .first_host_joined_at
                 .is_some_and(|joined_at| now.since(joined_at) >= OUTAGE_SETTLE_TIME);
@@ -517,23 +518,14 @@
             .is_some_and(|joined_at| now.since(joined_at) >= SETTLE_TIME)
     }
 
-    /// Returns whether all servers have just started, so that no older flow exists.
-    fn is_after_full_outage(&self) -> bool {
-        let members = &self.members;
-        members.hosts_with_server().count() >= MIN_OUTAGE_HOSTS
-            && members
-                .hosts_with_server()
-                .all(|record| record.is_server_new)
-    }
-
     /// Returns whether every host that may hold a flow is known and can be queried: host
     /// discovery is complete, most hosts are reachable, none that may hold a flow is
     /// suspect, and no peer names or reaches hosts that this balancer does not.
     fn is_membership_complete(&self, now: MonotonicTime) -> bool {
         let timeouts = self.members.timeouts();
         let reachable_count = self.members.reachable_host_count(now);
-        let is_partitioned = reachable_count * 2 <= self.members.hosts_with_server().count();
-        let has_suspect_host = self.members.hosts_with_server().any(|record| {
+        let is_partitioned = reachable_count * 2 <= self.members.possible_owners().count();
+        let has_suspect_host = self.members.possible_owners().any(|record| {
             let silence = now.since(record.peer.last_seen_at);
             record.may_hold_flows(now) && silence >= timeouts.suspect_after
         });
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -35,6 +35,13 @@
 /// planned restart takes less, and callers have given up by then.
 pub const HOST_UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Minimum number of hosts with a server, all of them new, that indicates a full outage.
+const MIN_OUTAGE_HOSTS: usize = 3;
+
+/// Number of hosts with a new server for each host that does not know its server, from which
+/// the latter is no evidence against a full outage.
+const NEW_SERVERS_PER_UNKNOWN: usize = 4;
+
 /// Time for which new flows avoid a host that did not answer an opening packet, unless
 /// a message from it arrives before.
 const UNANSWERED_AVOIDANCE: Duration = Duration::from_secs(2);
@@ -99,6 +106,17 @@
         now.since(self.peer.last_seen_at) < HOST_UNREACHABLE_TIMEOUT
     }
 
+    /// Returns whether the host may be beside a server that ran before this balancer met it.
+    /// After an outage of all servers, a host that does not know a server has none that holds
+    /// flows.
+    pub fn may_have_older_server(&self, is_after_full_outage: bool) -> bool {
+        match self.server {
+            ServerState::Down => false,
+            ServerState::Unknown => !is_after_full_outage,
+            ServerState::Ready | ServerState::Draining => true,
+        }
+    }
+
     /// Returns whether a new flow may be offered to the host if no other host accepts new
     /// flows.
     pub fn is_fallback(&self) -> bool {
@@ -113,8 +131,7 @@
     pub peer: PeerRecord,
     /// Whether the process is stopping.
     pub is_stopping: bool,
-    /// Number of hosts from which it has recently received messages, without those whose
-    /// server is down.
+    /// Number of possible owners of flows from which it has recently received messages.
     pub reachable_host_count: u16,
 }
 
@@ -190,20 +207,39 @@
         Some(&mut self.hosts[index])
     }
 
-    /// Returns the number of hosts that are not suspect and have not reported their server
-    /// as down.
+    /// Returns the number of possible owners of flows that are not suspect.
     pub fn reachable_host_count(&self, now: MonotonicTime) -> usize {
         let limit = self.timeouts().suspect_after;
-        self.hosts_with_server()
+        self.possible_owners()
             .filter(|record| now.since(record.peer.last_seen_at) < limit)
             .count()
     }
 
-    /// Iterates over the hosts that have not reported their server as down.
-    pub fn hosts_with_server(&self) -> impl Iterator<Item = &HostRecord> {
+    /// Iterates over the hosts whose servers may hold flows.
+    pub fn possible_owners(&self) -> impl Iterator<Item = &HostRecord> {
+        let is_after_outage = self.is_after_full_outage();
         self.hosts
             .iter()
-            .filter(|record| record.server != ServerState::Down)
+            .filter(move |record| record.may_have_older_server(is_after_outage))
+    }
+
+    /// Returns whether all servers have just started, so that no older flow exists. A few
+    /// hosts that do not know their server do not count: when power returns, hosts of servers
+    /// that have left may run for a moment.
+    pub fn is_after_full_outage(&self) -> bool {
+        let mut new_count = 0;
+        let mut unknown_count = 0;
+        for record in &self.hosts {
+            match record.server {
+                ServerState::Down => {}
+                ServerState::Unknown => unknown_count += 1,
+                ServerState::Ready | ServerState::Draining if record.is_server_new => {
+                    new_count += 1;
+                }
+                ServerState::Ready | ServerState::Draining => return false,
+            }
+        }
+        new_count >= MIN_OUTAGE_HOSTS && unknown_count * NEW_SERVERS_PER_UNKNOWN <= new_count
     }
 
     /// Returns the addresses of the known balancers.
