Share the calls of a fleet to a store that is down

Change: after a failed call a balancer with routes waits 60 ms for each balancer of the fleet, 0.25 s at least and 1 s at most.

--- a/crates/flows/tests/watch_schedule.rs
+++ b/crates/flows/tests/watch_schedule.rs
@@ -66,3 +66,25 @@
     };
     assert!(schedule.next_timeout(true) > Duration::ZERO);
 }
+
+#[test]
+fn a_fleet_notices_the_return_of_the_store_soon_with_few_calls() {
+    let lines = [1, 4, 9, 22, 1_500].map(|balancer_count| {
+        let schedule = WatchSchedule {
+            balancer_count,
+            rank: 0,
+        };
+        let delay = schedule.retry_delay();
+        let mean_interval = delay / balancer_count;
+        assert!(mean_interval <= Duration::from_millis(250));
+        assert!(delay <= MAX_GAP, "one balancer alone notices it in time");
+        format!("{balancer_count}: {delay:?}, together every {mean_interval:?}")
+    });
+    expect![[r#"
+        1: 250ms, together every 250ms
+        4: 250ms, together every 62.5ms
+        9: 540ms, together every 60ms
+        22: 1s, together every 45.454545ms
+        1500: 1s, together every 666.666µs"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -17,6 +17,7 @@
 use hyssopstair_flows::routes::RouteTable;
 use hyssopstair_flows::saved_flows::SavedFlowList;
 use hyssopstair_flows::store_position::StorePosition;
+use hyssopstair_flows::watch_schedule::MIN_RETRY_DELAY;
 use hyssopstair_flows::watch_schedule::WatchSchedule;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -165,6 +166,14 @@
         }
     }
 
+    /// Returns the delay of a balancer after a call that the store has not answered.
+    pub fn retry_delay(&self) -> Duration {
+        match self.routes_version() {
+            0 => MIN_RETRY_DELAY,
+            _ => self.watch_schedule().retry_delay(),
+        }
+    }
+
     /// Publishes the state of the event loop. `balancers` holds the addresses of the known
     /// balancers, and `address` that of the process.
     pub fn publish(
--- a/crates/hyssopstaird/src/carry/configuration_watch.rs
+++ b/crates/hyssopstaird/src/carry/configuration_watch.rs
@@ -89,7 +89,7 @@
                     // The store may come back from a copy, in which the known revision means
                     // another change.
                     self.give_up_position(&mut known, &error).await;
-                    sleep(RETRY_DELAY).await;
+                    sleep(self.status.retry_delay()).await;
                 }
             }
         }
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -92,7 +92,7 @@
                     }
                 }
                 Err(error) if error.ends_lease() && lease.is_some() => lease = None,
-                Err(_) => sleep(RETRY_DELAY * 2).await,
+                Err(_) => sleep(self.status.retry_delay() * 2).await,
             }
         }
     }
