Take two circles of modules apart

The record of a host asks the room module, which reads load reports only; the era that a process knows has a module of its own, above events and outbox. No change in behaviour.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -43,7 +43,7 @@
 use crate::packet::RawPacket;
 use crate::route_transfer::RouteReplica;
 use crate::routes::RouteTable;
-use crate::store_position::KnownEra;
+use crate::store_era::KnownEra;
 use crate::table::FlowTable;
 
 /// Interval between ticks while flows are pending.
--- a/crates/flows/src/host/saved_flows.rs
+++ b/crates/flows/src/host/saved_flows.rs
@@ -21,7 +21,7 @@
 use crate::saved_flows::SaveSchedule;
 use crate::saved_flows::SavedFlow;
 use crate::saved_flows::SavedFlowList;
-use crate::store_position::KnownEra;
+use crate::store_era::KnownEra;
 
 /// Interval at which the host checks whether its flows are to be saved.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -13,6 +13,8 @@
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::room::MAX_REQUESTS_PER_SLOT;
+use crate::room::estimated_requests;
 use crate::room::full_time;
 use crate::room::has_room;
 
@@ -99,6 +101,24 @@
             && now.since(self.peer.last_seen_at) < timeouts.suspect_after
     }
 
+    /// Returns whether the host probably accepts another flow of this balancer.
+    pub fn may_accept(&self, now: MonotonicTime) -> bool {
+        let slots = f64::from(self.load.slots.max(1));
+        let limit = slots * f64::from(MAX_REQUESTS_PER_SLOT);
+        now >= self.full_until && self.estimated_requests(now) < limit
+    }
+
+    /// Returns whether the host probably has a free slot.
+    pub fn may_have_free_slot(&self, now: MonotonicTime) -> bool {
+        let slots = f64::from(self.load.slots.max(1));
+        now >= self.full_until && self.estimated_requests(now) < slots
+    }
+
+    fn estimated_requests(&self, now: MonotonicTime) -> f64 {
+        let elapsed = now.since(self.reported_at);
+        estimated_requests(&self.load, self.flows_since_report, elapsed)
+    }
+
     /// Returns whether the host may hold flows that balancers search for. A host that
     /// has been silent for [`HOST_UNREACHABLE_TIMEOUT`] does not count: its callers are
     /// better served by another server, whether the host is running or not.
--- a/crates/flows/src/placing.rs
+++ b/crates/flows/src/placing.rs
@@ -23,8 +23,6 @@
 use crate::members::HostRecord;
 use crate::members::MemberTimeouts;
 use crate::ranking::rank_hosts;
-use crate::room::may_accept;
-use crate::room::may_have_free_slot;
 
 /// Median answer time that is assumed while no host has reported one, in microseconds.
 const DEFAULT_ANSWER_MICROS: u64 = 20_000;
@@ -117,12 +115,12 @@
     }
     let usable: Vec<&HostRecord> = usable
         .into_iter()
-        .filter(|record| may_accept(record, now))
+        .filter(|record| record.may_accept(now))
         .collect();
     if usable.is_empty() {
         return Placement::Full;
     }
-    let has_free_slot = usable.iter().any(|record| may_have_free_slot(record, now));
+    let has_free_slot = usable.iter().any(|record| record.may_have_free_slot(now));
     let mut addresses: Vec<Ipv4Addr> = usable.iter().map(|record| record.peer.address).collect();
     rank_hosts(request.flow_hash, &mut addresses);
     addresses.truncate(MAX_CANDIDATES);
--- a/crates/flows/src/room.rs
+++ b/crates/flows/src/room.rs
@@ -9,9 +9,6 @@
 use std::time::Duration;
 
 use hyssopstair_wire::carried::CarryLoad;
-use hyssopstair_wire::time::MonotonicTime;
-
-use crate::members::HostRecord;
 
 /// Number of requests in progress per slot at which a server gets no more new flows. The
 /// last of these requests waits for two answers, which takes most of its latency target.
@@ -42,29 +39,16 @@
     share_time.clamp(MIN_FULL_TIME, MAX_FULL_TIME)
 }
 
-/// Returns the estimated number of requests in progress at a host: those that it has reported
-/// and the flows sent since, less the requests that its server has ended in the meantime.
-pub fn estimated_requests(record: &HostRecord, now: MonotonicTime) -> f64 {
-    let load = &record.load;
-    let elapsed = now.since(record.reported_at).as_secs_f64();
-    let ended = f64::from(load.slots.max(1)) * elapsed / answer_time(load).as_secs_f64();
-    let known = f64::from(load.in_progress) + f64::from(record.flows_since_report);
+/// Returns the estimated number of requests in progress at a host `elapsed` after it reported
+/// `load`, if it has been sent `flow_count` flows since: all of them, less the requests that its
+/// server has ended in the meantime.
+pub fn estimated_requests(load: &CarryLoad, flow_count: u16, elapsed: Duration) -> f64 {
+    let slots = f64::from(load.slots.max(1));
+    let ended = slots * elapsed.as_secs_f64() / answer_time(load).as_secs_f64();
+    let known = f64::from(load.in_progress) + f64::from(flow_count);
     (known - ended).max(0.0)
 }
 
-/// Returns whether a host probably accepts another flow of this balancer.
-pub fn may_accept(record: &HostRecord, now: MonotonicTime) -> bool {
-    let slots = f64::from(record.load.slots.max(1));
-    now >= record.full_until
-        && estimated_requests(record, now) < slots * f64::from(MAX_REQUESTS_PER_SLOT)
-}
-
-/// Returns whether a host probably has a free slot.
-pub fn may_have_free_slot(record: &HostRecord, now: MonotonicTime) -> bool {
-    now >= record.full_until
-        && estimated_requests(record, now) < f64::from(record.load.slots.max(1))
-}
-
 fn answer_time(load: &CarryLoad) -> Duration {
     match load.answer_micros {
         0 => DEFAULT_ANSWER_TIME,
