--- a/scripts/run_trials.py
+++ b/scripts/run_trials.py
@@ -75,9 +75,12 @@
 
 
 def copy_journal(source, target):
+    """Copies the entries that are missing, or were copied while their play went on."""
     for path in source.rglob("*"):
         copy = target / path.relative_to(source)
-        if path.is_file() and not copy.exists():
+        if not path.is_file():
+            continue
+        if not copy.exists() or copy.stat().st_size < path.stat().st_size:
             copy.parent.mkdir(parents=True, exist_ok=True)
             shutil.copy(path, copy)
 
