--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -31,6 +31,8 @@
 use crate::balancer::saved_flows::SaveQueue;
 pub use crate::balancer::saved_flows::SaveRequest;
 use crate::balancer::search::PendingSearch;
+use crate::detour::DetourTable;
+use crate::detour::PeerWay;
 use crate::evacuation::EvacuatedZones;
 use crate::evacuation::EvacuationReplica;
 use crate::event::DropReason;
@@ -40,7 +42,9 @@
 use crate::holding::HoldQueue;
 use crate::members::MemberTable;
 use crate::outbox::FlowOutbox;
+use crate::packet::PacketHeader;
 use crate::packet::RawPacket;
+use crate::ranking::hash_flow;
 use crate::route_transfer::RouteReplica;
 use crate::routes::RouteTable;
 use crate::store_era::KnownEra;
@@ -87,9 +91,30 @@
     /// Whether this balancer has forwarded a packet of the flow; if not, it only knows the
     /// owner from a peer.
     is_carried: bool,
+    /// Position in the caller's stream up to which data was forwarded, if known.
+    forwarded_end: Option<u32>,
 }
 
 impl FlowHint {
+    /// Records that a packet of the caller is forwarded, and returns whether it repeats data.
+    fn record_forwarded(&mut self, header: &PacketHeader, now: MonotonicTime) -> bool {
+        self.last_used_at = now;
+        self.is_finished |= header.is_finish || header.is_reset;
+        self.is_carried = true;
+        if header.data_length == 0 {
+            return false;
+        }
+        let end = header.sequence.wrapping_add(u32::from(header.data_length));
+        // The signed difference orders positions across the wraparound.
+        let is_new = self
+            .forwarded_end
+            .is_none_or(|forwarded| end.wrapping_sub(forwarded) as i32 > 0);
+        if is_new {
+            self.forwarded_end = Some(end);
+        }
+        !is_new
+    }
+
     /// Returns whether other balancers may still receive packets of the flow.
     fn is_worth_sharing(&self, now: MonotonicTime) -> bool {
         self.is_carried
@@ -104,6 +129,7 @@
     routes: RouteReplica,
     evacuation: EvacuationReplica,
     members: MemberTable,
+    detours: DetourTable,
     /// Addresses of other balancers that hellos are sent to, ascending.
     contacts: Vec<Ipv4Addr>,
     /// The most recently discovered balancers, oldest first.
@@ -142,8 +168,10 @@
     /// Creates a balancer that sends its first hellos to `contacts`, the addresses of
     /// other balancers.
     pub fn new(identity: BalancerIdentity, contacts: Vec<Ipv4Addr>, now: MonotonicTime) -> Self {
+        let detours = DetourTable::new(identity.address, &identity.zone, now);
         let mut balancer = Self {
             identity,
+            detours,
             routes: RouteReplica::default(),
             evacuation: EvacuationReplica::default(),
             members: MemberTable::default(),
@@ -335,22 +363,51 @@
             self.search_for_owner(packet, now, outbox);
             return;
         };
-        hint.last_used_at = now;
-        hint.is_finished |= packet.header.is_finish || packet.header.is_reset;
-        hint.is_carried = true;
+        let is_repeated = hint.record_forwarded(&packet.header, now);
         let owner = hint.owner;
-        self.forward_packet(owner, ForwardPurpose::Owner, packet.bytes, outbox);
+        self.forward_to_owner(&flow, owner, packet.bytes, now, outbox);
+        if is_repeated {
+            self.forward_around(&flow, owner, packet.bytes, now, outbox);
+        }
+    }
+
+    /// Forwards a packet to the host that holds its flow, on the way by which the host is
+    /// reached.
+    fn forward_to_owner(
+        &self,
+        flow: &FlowKey,
+        owner: Ipv4Addr,
+        bytes: &[u8],
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let way = self
+            .detours
+            .way_to(owner, hash_flow(flow), &self.members, now);
+        let message = CarryMessage::Forward(self.build_forward_header(ForwardPurpose::Owner));
+        self.detours.send(way, owner, &message, bytes, outbox);
     }
 
-    fn forward_packet(
+    /// Forwards a packet that the caller has repeated on another way as well. The direct way
+    /// may have failed a moment ago, so that no hello is overdue yet.
+    fn forward_around(
         &self,
-        host: Ipv4Addr,
-        purpose: ForwardPurpose,
+        flow: &FlowKey,
+        owner: Ipv4Addr,
         bytes: &[u8],
+        now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let header = self.build_forward_header(purpose);
-        outbox.enqueue_message(host, &CarryMessage::Forward(header), bytes);
+        let flow_hash = hash_flow(flow);
+        let is_direct =
+            self.detours.way_to(owner, flow_hash, &self.members, now) == PeerWay::Direct;
+        let way = self
+            .detours
+            .way_around(owner, flow_hash, &self.members, now);
+        if is_direct && way != PeerWay::Direct {
+            let message = CarryMessage::Forward(self.build_forward_header(ForwardPurpose::Owner));
+            self.detours.send(way, owner, &message, bytes, outbox);
+        }
     }
 
     fn build_forward_header(&self, purpose: ForwardPurpose) -> CarryHeader {
@@ -395,6 +452,7 @@
             is_exclusive,
             is_finished: false,
             is_carried: false,
+            forwarded_end: None,
         };
         self.hints.insert(flow, hint);
     }
--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -66,6 +66,8 @@
     /// Number of offers, the current one included.
     attempt_count: u8,
     tried_hosts: TriedHosts,
+    /// Another zone whose host has not answered the last offer.
+    unanswered_zone: Option<String>,
     bytes: Vec<u8>,
 }
 
@@ -79,6 +81,8 @@
     /// Number of earlier offers.
     attempt_count: u8,
     tried_hosts: TriedHosts,
+    /// Another zone whose host has not answered the last offer.
+    unanswered_zone: Option<String>,
     bytes: Vec<u8>,
 }
 
@@ -127,6 +131,7 @@
             attempt_count: pending.map_or(0, |opening| opening.attempt_count),
             tried_hosts: pending
                 .map_or_else(Default::default, |opening| opening.tried_hosts.clone()),
+            unanswered_zone: pending.and_then(|opening| self.find_unanswered_zone(opening)),
             bytes: packet.bytes.to_vec(),
         };
         self.openings.retain(|opening| opening.flow != flow);
@@ -192,6 +197,7 @@
             sent_at: now,
             attempt_count: new_flow.attempt_count + 1,
             tried_hosts: new_flow.tried_hosts,
+            unanswered_zone: new_flow.unanswered_zone,
             bytes: new_flow.bytes,
         });
     }
@@ -222,11 +228,25 @@
             if !has_responded {
                 self.members.avoid_host(opening.first_host, now);
             }
+            let unanswered_zone = self.find_unanswered_zone(&opening);
             let first_host = opening.first_host;
-            self.offer_flow(opening.into_new_flow(&[first_host]), now, outbox);
+            let new_flow = NewFlow {
+                unanswered_zone,
+                ..opening.into_new_flow(&[first_host])
+            };
+            self.offer_flow(new_flow, now, outbox);
         }
     }
 
+    /// Returns the zone of the host that has not answered an offer, or the one that has not
+    /// answered before if the host is in the balancer's own zone.
+    fn find_unanswered_zone(&self, opening: &PendingOpening) -> Option<String> {
+        let zone = self.members.peer(opening.first_host).map(|peer| &peer.zone);
+        zone.filter(|zone| **zone != self.identity.zone)
+            .or(opening.unanswered_zone.as_ref())
+            .cloned()
+    }
+
     /// Returns whether several hosts may have accepted a pending flow, because it was
     /// offered more than once.
     pub(super) fn has_several_offers(&self, flow: &FlowKey) -> bool {
@@ -431,6 +451,7 @@
             zone: &self.identity.zone,
             flow_hash: hash_flow(&new_flow.flow),
             excluded: &new_flow.tried_hosts,
+            unanswered_zone: new_flow.unanswered_zone.as_deref(),
             evacuated_zones: self.evacuation.zones(),
         };
         let timeouts = self.members.timeouts();
@@ -496,6 +517,7 @@
             age_at_arrival: self.age_at_arrival,
             attempt_count: self.attempt_count,
             tried_hosts,
+            unanswered_zone: self.unanswered_zone,
             bytes: self.bytes,
         }
     }
@@ -509,6 +531,7 @@
             age_at_arrival: held_flow.age_at_arrival,
             attempt_count: 0,
             tried_hosts: TriedHosts::new(),
+            unanswered_zone: None,
             bytes: held_flow.bytes,
         }
     }
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -15,12 +15,14 @@
 use hyssopstair_wire::carried::HelloRole;
 use hyssopstair_wire::carried::MAX_BATCH_FLOWS;
 use hyssopstair_wire::carried::MAX_HELLO_BALANCERS;
+use hyssopstair_wire::carried::PeerVersion;
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::balancer::FlowBalancer;
 use crate::balancer::FlowHint;
 use crate::balancer::SaveRequest;
+use crate::detour::PeerWay;
 use crate::event::DropReason;
 use crate::event::FlowEvent;
 use crate::members::BalancerRecord;
@@ -32,8 +34,8 @@
 pub(super) const MAX_RECENT_BALANCERS: usize = 4;
 
 impl FlowBalancer {
-    /// Handles a message from a peer. `payload` holds the bytes that follow the
-    /// message, and `packet` the packet parsed from them, if they are one.
+    /// Handles a message that a peer has sent directly. `payload` holds the bytes that follow
+    /// the message, and `packet` the packet parsed from them, if they are one.
     pub fn receive_peer_message(
         &mut self,
         from: Ipv4Addr,
@@ -42,6 +44,44 @@
         payload: &[u8],
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
+    ) {
+        self.detours.record_arrival(from, PeerWay::Direct, now);
+        match message {
+            CarryMessage::Detour { origin, target } => {
+                self.detours
+                    .relay(from, *origin, *target, payload, now, outbox);
+            }
+            CarryMessage::Owned { load, .. } => {
+                self.members.record_load(from, *load, now);
+                self.handle_message(from, message, packet, payload, now, outbox);
+            }
+            _ => self.handle_message(from, message, packet, payload, now, outbox),
+        }
+    }
+
+    /// Handles a message that has come from a peer through the process at `relay`. It does not
+    /// show that the peer can be reached directly, so new flows may still avoid the peer.
+    pub fn receive_detoured_message(
+        &mut self,
+        from: Ipv4Addr,
+        relay: Ipv4Addr,
+        message: &CarryMessage,
+        packet: Option<&RawPacket<'_>>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        self.detours.record_arrival(from, PeerWay::Via(relay), now);
+        self.handle_message(from, message, packet, &[], now, outbox);
+    }
+
+    fn handle_message(
+        &mut self,
+        from: Ipv4Addr,
+        message: &CarryMessage,
+        packet: Option<&RawPacket<'_>>,
+        payload: &[u8],
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
     ) {
         match message {
             CarryMessage::Hello(hello) => {
@@ -51,13 +91,12 @@
                 if self.evacuation.receive_notice(notice, outbox) {
                     self.schedule_hellos();
                 }
-                self.receive_hello(from, hello, now, outbox);
+                self.receive_hello(from, hello, &extension, now, outbox);
             }
-            CarryMessage::Owned { flow, load } => {
-                self.members.record_load(from, *load, now);
+            CarryMessage::Owned { flow, .. } => {
                 self.record_claim(*flow, from, now);
                 self.complete_opening(flow, now, outbox);
-                self.complete_search(flow, from, outbox);
+                self.complete_search(flow, from, now, outbox);
             }
             CarryMessage::NotHeld { flows, is_certain } => {
                 for flow in flows {
@@ -106,6 +145,7 @@
             }
             CarryMessage::Forward(_)
             | CarryMessage::Locate { .. }
+            | CarryMessage::Detour { .. }
             | CarryMessage::FlowsSaved { .. } => outbox.record_event(FlowEvent::Dropped {
                 reason: DropReason::Malformed,
             }),
@@ -138,6 +178,7 @@
         &mut self,
         from: Ipv4Addr,
         hello: &HelloMessage,
+        extension: &HelloExtension,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
@@ -145,7 +186,7 @@
             .members
             .host(from)
             .is_some_and(|record| record.is_relearning);
-        let outcome = self.members.record_hello(from, hello, now);
+        let outcome = self.members.record_hello(from, hello, extension, now);
         if outcome == HelloOutcome::Stale {
             return;
         }
@@ -155,7 +196,7 @@
         }
         if is_new || hello.wants_answer {
             let answer = self.build_hello(false, now);
-            let extension = self.build_hello_extension();
+            let extension = self.build_hello_extension(from, now);
             outbox.enqueue_message(from, &CarryMessage::Hello(answer), &extension);
         }
         match &hello.role {
@@ -200,8 +241,8 @@
         self.hello_number += 1;
         let hello = CarryMessage::Hello(self.build_hello(false, now));
         let hello_request = CarryMessage::Hello(self.build_hello(true, now));
-        let extension = self.build_hello_extension();
         for host in self.members.hosts() {
+            let extension = self.build_hello_extension(host.peer.address, now);
             outbox.enqueue_message(host.peer.address, &hello, &extension);
         }
         for contact in &self.contacts {
@@ -210,14 +251,18 @@
             } else {
                 &hello_request
             };
+            let extension = self.build_hello_extension(*contact, now);
             outbox.enqueue_message(*contact, message, &extension);
         }
     }
 
-    fn build_hello_extension(&self) -> Vec<u8> {
+    /// Returns the fields that follow a hello to `peer`.
+    fn build_hello_extension(&self, peer: Ipv4Addr, now: MonotonicTime) -> Vec<u8> {
         let extension = HelloExtension {
             store_era: self.store_era.get(),
             evacuation: self.evacuation.notice(),
+            version: PeerVersion::CURRENT,
+            silence_millis: self.members.silence_millis(peer, now),
         };
         extension.encode()
     }
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -237,7 +237,7 @@
         match self.hints.get(&flow) {
             Some(hint) if hint.owner != from => {
                 let owner = hint.owner;
-                self.forward_packet(owner, ForwardPurpose::Owner, packet.bytes, outbox);
+                self.forward_to_owner(&flow, owner, packet.bytes, now, outbox);
             }
             _ => {
                 let hint = self.hints.remove(&flow);
@@ -257,6 +257,7 @@
         &mut self,
         flow: &FlowKey,
         owner: Ipv4Addr,
+        now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
         let Ok(index) = self.find_search(flow) else {
@@ -266,7 +267,7 @@
         // A probed host already has the first packet.
         let delivered_count = usize::from(search.probing.contains(&owner));
         for bytes in search.packets.iter().skip(delivered_count) {
-            self.forward_packet(owner, ForwardPurpose::Owner, bytes, outbox);
+            self.forward_to_owner(flow, owner, bytes, now, outbox);
         }
     }
 
@@ -383,8 +384,11 @@
         for (host, questions) in std::mem::take(&mut self.queued_questions) {
             for batch in questions.chunks(MAX_QUESTIONS) {
                 self.questions_allowed_at = self.questions_allowed_at + QUESTION_DATAGRAM_INTERVAL;
+                let flow_hash = batch.first().map_or(0, |first| hash_flow(&first.flow));
                 let questions = batch.to_vec();
-                outbox.enqueue_message(host, &CarryMessage::Locate { questions }, &[]);
+                let message = CarryMessage::Locate { questions };
+                let way = self.detours.way_to(host, flow_hash, &self.members, now);
+                self.detours.send(way, host, &message, &[], outbox);
             }
         }
     }
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -174,6 +174,20 @@
         /// Why it changed.
         cause: PaceChangeCause,
     },
+    /// A message to a peer took a detour, because the peer was not reached directly.
+    Detoured {
+        /// The peer.
+        peer: Ipv4Addr,
+        /// The process that passes the message on.
+        relay: Ipv4Addr,
+    },
+    /// A message between two other processes was passed on.
+    Relayed {
+        /// The process that has sent it.
+        origin: Ipv4Addr,
+        /// The process that it is for.
+        target: Ipv4Addr,
+    },
     /// A datagram was dropped.
     Dropped {
         /// Why it was dropped.
@@ -234,11 +248,15 @@
     ColdLimited,
     /// Changes of the number of requests that a server bears.
     PaceChanged,
+    /// Messages sent through another process.
+    Detoured,
+    /// Messages passed on for two other processes.
+    Relayed,
 }
 
 impl EventKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 22] = [
         Self::Placed,
         Self::PassedOn,
         Self::Offered,
@@ -259,6 +277,8 @@
         Self::KeptAway,
         Self::ColdLimited,
         Self::PaceChanged,
+        Self::Detoured,
+        Self::Relayed,
     ];
 
     /// Returns the name of the counter.
@@ -284,6 +304,8 @@
             Self::KeptAway => "hyssopstair.flow.kept_away",
             Self::ColdLimited => "hyssopstair.flow.cold_limited",
             Self::PaceChanged => "hyssopstair.server.pace_changes",
+            Self::Detoured => "hyssopstair.message.detoured",
+            Self::Relayed => "hyssopstair.message.relayed",
         }
     }
 
@@ -310,6 +332,8 @@
             Self::KeptAway => "New flows that a host of an emptied zone did not accept",
             Self::ColdLimited => "New flows that a host with a cold server did not accept",
             Self::PaceChanged => "Changes of the number of requests that the server bears",
+            Self::Detoured => "Messages sent to a peer through another process",
+            Self::Relayed => "Messages passed on for two other processes",
         }
     }
 }
@@ -338,6 +362,8 @@
             Self::KeptAway { .. } => EventKind::KeptAway,
             Self::ColdLimited { .. } => EventKind::ColdLimited,
             Self::PaceChanged { .. } => EventKind::PaceChanged,
+            Self::Detoured { .. } => EventKind::Detoured,
+            Self::Relayed { .. } => EventKind::Relayed,
         }
     }
 }
@@ -430,4 +456,8 @@
     NotReady,
     /// It is a retransmitted opening packet of a flow that has already opened.
     Repeated,
+    /// It is a message of a kind that this build does not know.
+    UnknownKind,
+    /// It is to be passed on, and the process has passed on as much as it may.
+    RelayLimit,
 }
--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -29,6 +29,7 @@
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::detour::DetourTable;
 use crate::evacuation::EvacuationReplica;
 use crate::event::BreakReason;
 use crate::event::FlowEvent;
@@ -44,6 +45,7 @@
 use crate::outbox::Destination;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
+use crate::ranking::hash_flow;
 use crate::route_transfer::RouteReplica;
 use crate::routes::RouteTable;
 use crate::table::FlowTable;
@@ -84,6 +86,7 @@
     routes: RouteReplica,
     evacuation: EvacuationReplica,
     members: MemberTable,
+    detours: DetourTable,
     /// Addresses of balancers that hellos are sent to, ascending.
     contacts: Vec<Ipv4Addr>,
     flows: FlowTable<FlowRecord>,
@@ -104,8 +107,10 @@
     /// balancers.
     pub fn new(identity: HostIdentity, contacts: Vec<Ipv4Addr>, now: MonotonicTime) -> Self {
         let follows_pace = identity.follows_pace;
+        let detours = DetourTable::new(identity.address, &identity.zone, now);
         let mut host = Self {
             identity,
+            detours,
             created_at: now,
             routes: RouteReplica::default(),
             evacuation: EvacuationReplica::default(),
@@ -282,13 +287,13 @@
         };
         match record.phase {
             FlowPhase::Absent => {
-                self.decline_packet(header, packet, outbox);
+                self.decline_packet(header, packet, now, outbox);
                 return;
             }
             FlowPhase::Broken if !record.continues_stream(acknowledged) => {
                 // The flow may continue at another server, also if the balancer takes this
                 // host for its owner.
-                self.decline_packet(header, packet, outbox);
+                self.decline_packet(header, packet, now, outbox);
                 return;
             }
             FlowPhase::Broken => {
@@ -297,7 +302,7 @@
             }
             FlowPhase::Offered if !record.continues_stream(acknowledged) => {
                 // The caller accepted the answer of another server.
-                self.decline_packet(header, packet, outbox);
+                self.decline_packet(header, packet, now, outbox);
                 return;
             }
             FlowPhase::Probed => {
@@ -324,7 +329,7 @@
         outbox: &mut FlowOutbox,
     ) {
         if !self.may_hold_unknown_flow(now) || packet.header.opens_flow() {
-            self.decline_packet(header, packet, outbox);
+            self.decline_packet(header, packet, now, outbox);
             return;
         }
         let flow = packet.header.caller_flow();
@@ -349,20 +354,35 @@
         &self,
         header: &CarryHeader,
         packet: &RawPacket<'_>,
+        now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let message = match header.purpose {
-            ForwardPurpose::Probe => CarryMessage::NotHeld {
-                flows: vec![packet.header.caller_flow()],
-                is_certain: true,
-            },
-            purpose => {
-                let message = CarryMessage::Returned { purpose };
-                outbox.enqueue_message(header.balancer, &message, packet.bytes);
-                return;
+        let flow = packet.header.caller_flow();
+        let (message, payload) = match header.purpose {
+            ForwardPurpose::Probe => {
+                let flows = vec![flow];
+                let is_certain = true;
+                (CarryMessage::NotHeld { flows, is_certain }, &[][..])
             }
+            purpose => (CarryMessage::Returned { purpose }, packet.bytes),
         };
-        outbox.enqueue_message(header.balancer, &message, &[]);
+        self.send_to_balancer(header.balancer, &flow, &message, payload, now, outbox);
+    }
+
+    /// Sends a message about a flow to a balancer, on the way by which the balancer is reached.
+    fn send_to_balancer(
+        &self,
+        balancer: Ipv4Addr,
+        flow: &FlowKey,
+        message: &CarryMessage,
+        payload: &[u8],
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let way = self
+            .detours
+            .way_to(balancer, hash_flow(flow), &self.members, now);
+        self.detours.send(way, balancer, message, payload, outbox);
     }
 
     /// Answers a balancer's questions about which flows the server holds.
@@ -397,9 +417,9 @@
             self.send_claim(flow, from, now, outbox);
         }
         for (flows, is_certain) in [(not_held, true), (uncertain, false)] {
-            if !flows.is_empty() {
+            if let Some(first_flow) = flows.first().copied() {
                 let message = CarryMessage::NotHeld { flows, is_certain };
-                outbox.enqueue_message(from, &message, &[]);
+                self.send_to_balancer(from, &first_flow, &message, &[], now, outbox);
             }
         }
     }
@@ -536,7 +556,7 @@
                 let header = record.forward_header.take();
                 self.set_phase(&flow, FlowPhase::Absent);
                 if let Some(header) = header {
-                    self.decline_packet(&header, packet, outbox);
+                    self.decline_packet(&header, packet, now, outbox);
                 }
             }
             FlowPhase::Open => {
@@ -563,6 +583,7 @@
             return;
         }
         let load = self.load_report(now);
-        outbox.enqueue_message(balancer, &CarryMessage::Owned { flow, load }, &[]);
+        let message = CarryMessage::Owned { flow, load };
+        self.send_to_balancer(balancer, &flow, &message, &[], now, outbox);
     }
 }
--- a/crates/flows/src/host/peers.rs
+++ b/crates/flows/src/host/peers.rs
@@ -12,8 +12,10 @@
 use hyssopstair_wire::carried::HelloMessage;
 use hyssopstair_wire::carried::HelloRole;
 use hyssopstair_wire::carried::HostHello;
+use hyssopstair_wire::carried::PeerVersion;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::detour::PeerWay;
 use crate::evacuation::EvacuatedZones;
 use crate::event::FlowEvent;
 use crate::event::RouteSource;
@@ -33,8 +35,8 @@
 const MAX_GREETINGS: usize = 32;
 
 impl FlowHost {
-    /// Handles a message from a peer. `payload` holds the bytes that follow the message,
-    /// and `packet` the packet parsed from them, if they are one.
+    /// Handles a message that a peer has sent directly. `payload` holds the bytes that follow
+    /// the message, and `packet` the packet parsed from them, if they are one.
     pub fn receive_peer_message(
         &mut self,
         from: Ipv4Addr,
@@ -44,7 +46,47 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
+        self.detours.record_arrival(from, PeerWay::Direct, now);
         match message {
+            CarryMessage::Detour { origin, target } => {
+                self.detours
+                    .relay(from, *origin, *target, payload, now, outbox);
+            }
+            _ => self.handle_message(from, message, packet, payload, now, outbox),
+        }
+    }
+
+    /// Handles a message that has come from a peer through the process at `relay`.
+    pub fn receive_detoured_message(
+        &mut self,
+        from: Ipv4Addr,
+        relay: Ipv4Addr,
+        message: &CarryMessage,
+        packet: Option<&RawPacket<'_>>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        self.detours.record_arrival(from, PeerWay::Via(relay), now);
+        self.handle_message(from, message, packet, &[], now, outbox);
+    }
+
+    fn handle_message(
+        &mut self,
+        from: Ipv4Addr,
+        message: &CarryMessage,
+        packet: Option<&RawPacket<'_>>,
+        payload: &[u8],
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        match message {
+            CarryMessage::Hello(hello) => {
+                let extension = HelloExtension::decode(payload);
+                let notice = extension.evacuation.as_ref();
+                self.evacuation.receive_notice(notice, outbox);
+                self.receive_hello(from, hello, &extension, now, outbox);
+                self.record_store_era(extension.store_era, outbox);
+            }
             CarryMessage::Forward(header) => {
                 if let Some(packet) = packet {
                     self.receive_forwarded_packet(header, packet, now, outbox);
@@ -53,13 +95,6 @@
             CarryMessage::Locate { questions } => {
                 self.answer_questions(from, questions, now, outbox);
             }
-            CarryMessage::Hello(hello) => {
-                let extension = HelloExtension::decode(payload);
-                let notice = extension.evacuation.as_ref();
-                self.evacuation.receive_notice(notice, outbox);
-                self.receive_hello(from, hello, now, outbox);
-                self.record_store_era(extension.store_era, outbox);
-            }
             CarryMessage::Flows { owner, flows } if *owner == self.identity.address => {
                 if !self.is_relearning {
                     return;
@@ -86,7 +121,8 @@
             | CarryMessage::SaveFlows { .. }
             | CarryMessage::Owned { .. }
             | CarryMessage::NotHeld { .. }
-            | CarryMessage::Returned { .. } => {}
+            | CarryMessage::Returned { .. }
+            | CarryMessage::Detour { .. } => {}
         }
     }
 
@@ -144,8 +180,8 @@
     pub(super) fn send_hellos(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
         self.next_hello_at = now + self.members.timeouts().hello_interval;
         self.hello_number += 1;
-        let extension = self.build_hello_extension();
         for contact in &self.contacts {
+            let extension = self.build_hello_extension(*contact, now);
             let hello = self.build_hello(!self.members.has_balancer(*contact), now);
             outbox.enqueue_message(*contact, &CarryMessage::Hello(hello), &extension);
         }
@@ -169,25 +205,24 @@
         }
         self.hello_number += 1;
         let hello = CarryMessage::Hello(self.build_hello(true, now));
-        let extension = self.build_hello_extension();
         let start = self.hello_number as usize * MAX_GREETINGS % unknown.len();
         let in_turn = unknown.iter().cycle().skip(start);
         for contact in in_turn.take(unknown.len().min(MAX_GREETINGS)) {
+            let extension = self.build_hello_extension(*contact, now);
             outbox.enqueue_message(*contact, &hello, &extension);
         }
     }
 
-    /// Returns the fields that follow a hello. The era of the store is left to balancers, which
+    /// Returns the fields that follow a hello to `peer`. The era of the store is left to balancers, which
     /// call it.
-    fn build_hello_extension(&self) -> Vec<u8> {
-        match self.evacuation.notice() {
-            Some(notice) => HelloExtension {
-                store_era: None,
-                evacuation: Some(notice),
-            }
-            .encode(),
-            None => Vec::new(),
-        }
+    fn build_hello_extension(&self, peer: Ipv4Addr, now: MonotonicTime) -> Vec<u8> {
+        let extension = HelloExtension {
+            store_era: None,
+            evacuation: self.evacuation.notice(),
+            version: PeerVersion::CURRENT,
+            silence_millis: self.members.silence_millis(peer, now),
+        };
+        extension.encode()
     }
 
     fn build_hello(&self, wants_answer: bool, now: MonotonicTime) -> HelloMessage {
@@ -212,10 +247,11 @@
         &mut self,
         from: Ipv4Addr,
         hello: &HelloMessage,
+        extension: &HelloExtension,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let outcome = self.members.record_hello(from, hello, now);
+        let outcome = self.members.record_hello(from, hello, extension, now);
         if outcome == HelloOutcome::Stale {
             return;
         }
@@ -227,7 +263,7 @@
             self.add_contacts(&[from]);
             if outcome == HelloOutcome::Joined {
                 let answer = CarryMessage::Hello(self.build_hello(false, now));
-                let extension = self.build_hello_extension();
+                let extension = self.build_hello_extension(from, now);
                 outbox.enqueue_message(from, &answer, &extension);
             }
         }
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`outbox`].
 
 pub mod balancer;
+pub mod detour;
 pub mod drain;
 pub mod evacuation;
 pub mod event;
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use hyssopstair_wire::carried::CarryLoad;
+use hyssopstair_wire::carried::HelloExtension;
 use hyssopstair_wire::carried::HelloMessage;
 use hyssopstair_wire::carried::HelloRole;
 use hyssopstair_wire::carried::HostHello;
+use hyssopstair_wire::carried::PeerVersion;
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
@@ -29,6 +31,10 @@
 /// Number of consecutive hellos that a peer may miss before new flows avoid it.
 const MAX_MISSED_HELLOS: u32 = 4;
 
+/// Number of intervals between hellos after which the silence of a peer is taken for a link
+/// that loses packets. One lost hello is no evidence.
+const OVERDUE_HELLOS: u32 = 3;
+
 /// Silence after which a peer is evicted. Network partitions between the users' machines
 /// are shorter, so that peers still know each other after one.
 pub const PEER_EVICTION_TIMEOUT: Duration = Duration::from_secs(30);
@@ -61,6 +67,10 @@
     pub zone: String,
     /// Version of its routes; 0 while it has none.
     pub routes_version: u64,
+    /// Newest version of the messages that it understands.
+    pub version: PeerVersion,
+    /// Whether it has said that it gets no messages of this process.
+    pub is_deaf: bool,
     /// Time at which its last hello or load report arrived.
     pub last_seen_at: MonotonicTime,
 }
@@ -291,19 +301,56 @@
             .max()
     }
 
+    /// Returns the properties of the peer at `address`, if it is known.
+    pub fn peer(&self, address: Ipv4Addr) -> Option<&PeerRecord> {
+        match (self.find_host(address), self.find_balancer(address)) {
+            (Ok(index), _) => Some(&self.hosts[index].peer),
+            (_, Ok(index)) => Some(&self.balancers[index].peer),
+            (Err(_), Err(_)) => None,
+        }
+    }
+
+    /// Returns whether messages to or from a known peer get lost: it has sent nothing for
+    /// [`OVERDUE_HELLOS`] of the intervals at which it sends hellos, or has said that it gets
+    /// nothing.
+    pub fn is_cut_off(&self, address: Ipv4Addr, now: MonotonicTime) -> bool {
+        let (peer, receiver_count) = match (self.find_host(address), self.find_balancer(address)) {
+            (Ok(index), _) => (&self.hosts[index].peer, self.balancers.len() + 1),
+            (_, Ok(index)) => {
+                let record = &self.balancers[index];
+                let host_count = usize::from(record.reachable_host_count).max(self.hosts.len());
+                (&record.peer, host_count.max(self.balancers.len()))
+            }
+            (Err(_), Err(_)) => return false,
+        };
+        let interval = MemberTimeouts::for_peer_count(receiver_count).hello_interval;
+        peer.is_deaf || now.since(peer.last_seen_at) >= interval * OVERDUE_HELLOS
+    }
+
+    /// Returns the time since the last message of a peer, in milliseconds, if it is known.
+    pub fn silence_millis(&self, address: Ipv4Addr, now: MonotonicTime) -> Option<u32> {
+        let silence = now.since(self.peer(address)?.last_seen_at);
+        Some(silence.as_millis().min(u128::from(u32::MAX)) as u32)
+    }
+
     /// Records a hello of the peer at `from`, and returns its effect.
     pub fn record_hello(
         &mut self,
         from: Ipv4Addr,
         hello: &HelloMessage,
+        extension: &HelloExtension,
         now: MonotonicTime,
     ) -> HelloOutcome {
+        let overdue_after = self.timeouts().hello_interval * OVERDUE_HELLOS;
+        let silence = extension.silence_millis.unwrap_or_default();
         let peer = PeerRecord {
             address: from,
             started_unix_millis: hello.started,
             hello_number: hello.number,
             zone: hello.zone.clone(),
             routes_version: hello.routes,
+            version: extension.version,
+            is_deaf: Duration::from_millis(u64::from(silence)) >= overdue_after,
             last_seen_at: now,
         };
         match &hello.role {
--- a/crates/flows/src/outbox.rs
+++ b/crates/flows/src/outbox.rs
@@ -59,6 +59,23 @@
             .push((Destination::Peer(peer), start..self.buffer.len()));
     }
 
+    /// Adds a message for a peer in the envelope of another message, which asks `relay` to pass
+    /// it on.
+    pub fn enqueue_enveloped(
+        &mut self,
+        relay: Ipv4Addr,
+        envelope: &CarryMessage,
+        message: &CarryMessage,
+        payload: &[u8],
+    ) {
+        let start = self.buffer.len();
+        envelope.encode(&mut self.buffer);
+        message.encode(&mut self.buffer);
+        self.buffer.extend_from_slice(payload);
+        self.datagrams
+            .push((Destination::Peer(relay), start..self.buffer.len()));
+    }
+
     /// Adds a reset of a flow at a position in the server's stream.
     pub fn enqueue_reset(&mut self, flow: FlowKey, sequence: u32) {
         self.resets.push(FlowReset { flow, sequence });
--- a/crates/flows/src/placing.rs
+++ b/crates/flows/src/placing.rs
@@ -60,6 +60,9 @@
     pub flow_hash: u64,
     /// Hosts that the flow must not be offered to again.
     pub excluded: &'a [Ipv4Addr],
+    /// Another zone whose host has not answered the last offer of the flow. The link to it may
+    /// be cut, so the zone's hosts are used only if there are no others.
+    pub unanswered_zone: Option<&'a str>,
     /// Names of the emptied zones, ascending.
     pub evacuated_zones: &'a [String],
 }
@@ -113,6 +116,7 @@
     if usable.is_empty() {
         return Placement::NoHost;
     }
+    let usable = prefer_answering_zones(usable, request.unanswered_zone);
     let usable: Vec<&HostRecord> = usable
         .into_iter()
         .filter(|record| record.may_accept(now))
@@ -142,6 +146,24 @@
     Placement::Offer(scored.into_iter().map(|(_, address)| address).collect())
 }
 
+/// Returns the hosts outside the zone that has not answered, or all if there are no others.
+fn prefer_answering_zones<'a>(
+    hosts: Vec<&'a HostRecord>,
+    unanswered_zone: Option<&str>,
+) -> Vec<&'a HostRecord> {
+    let Some(zone) = unanswered_zone else {
+        return hosts;
+    };
+    let (unanswering, answering): (Vec<_>, Vec<_>) = hosts
+        .into_iter()
+        .partition(|record| record.peer.zone == zone);
+    if answering.is_empty() {
+        unanswering
+    } else {
+        answering
+    }
+}
+
 /// Returns the median time that the hosts of a service take to answer.
 pub fn median_answer_time(hosts: &[HostRecord], service: &str) -> Duration {
     let hosts: Vec<&HostRecord> = hosts
--- a/crates/flows/src/ranking.rs
+++ b/crates/flows/src/ranking.rs
@@ -27,6 +27,11 @@
     hosts.sort_by_cached_key(|host| (rendezvous_score(flow_hash, *host), *host));
 }
 
+/// Returns the host that ranks first for the flow with the hash `flow_hash`.
+pub fn first_ranked(flow_hash: u64, hosts: impl Iterator<Item = Ipv4Addr>) -> Option<Ipv4Addr> {
+    hosts.min_by_key(|host| (rendezvous_score(flow_hash, *host), *host))
+}
+
 fn rendezvous_score(flow_hash: u64, host: Ipv4Addr) -> u64 {
     let mut hasher = SipHasher13::new_with_keys(flow_hash, 0);
     hasher.write_u32(u32::from(host));
--- a/crates/flows/tests/evacuation.rs
+++ b/crates/flows/tests/evacuation.rs
@@ -32,6 +32,7 @@
     HelloExtension {
         store_era: None,
         evacuation: Some(evacuated.into()),
+        ..Default::default()
     }
     .encode()
 }
--- a/crates/flows/tests/hostile_input.rs
+++ b/crates/flows/tests/hostile_input.rs
@@ -52,6 +52,10 @@
         },
         CarryMessage::SaveFlows { number: 1, part: 0 },
         CarryMessage::FlowsSaved { number: 1 },
+        CarryMessage::Detour {
+            origin: host_address(1),
+            target: host_address(2),
+        },
     ]
 }
 
--- a/crates/flows/tests/model/world/faults.rs
+++ b/crates/flows/tests/model/world/faults.rs
@@ -61,6 +61,11 @@
                     self.crash_server(host);
                 }
             }
+            Fault::CutZones(first, second) => {
+                self.cut_zones(first, second);
+                self.cut_zones(second, first);
+            }
+            Fault::CutOneWay(from, to) => self.cut_zones(from, to),
             Fault::RestoreStore(age_millis) => self.restore_store(age_millis),
             Fault::LosePowerTogether => {
                 self.kill_all_processes();
--- a/crates/flows/tests/model/world/links.rs
+++ b/crates/flows/tests/model/world/links.rs
@@ -4,8 +4,10 @@
 
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::ForwardPurpose;
+use rand::RngExt;
 
 use crate::model::packet::ModelPacket;
+use crate::model::world::Event;
 use crate::model::world::World;
 use crate::model::world::carries_packet;
 
@@ -13,10 +15,47 @@
 /// microseconds.
 const MAX_LINK_QUEUE_MICROS: u64 = 500_000;
 
+/// Longest delay of the second copy of a datagram that arrives twice, in microseconds.
+const MAX_DOUBLE_DELAY_MICROS: u64 = 300_000;
+
+/// Time for which links between zones are cut, in microseconds.
+const ZONE_CUT_MICROS: u64 = 6_000_000;
+
 /// Length of the IP and UDP headers of a datagram.
 const DATAGRAM_HEADER_BYTES: usize = 28;
 
 impl World {
+    /// Returns the index of the availability zone of a process or caller.
+    pub(super) fn zone_of(&self, address: Ipv4Addr) -> u8 {
+        address.octets()[3] % self.plan.zones
+    }
+
+    /// Lets a datagram arrive for a second time, if it is drawn for that.
+    pub(super) fn double_datagram(&mut self, to: Ipv4Addr, from: Ipv4Addr, bytes: &[u8]) {
+        if self.plan.doubled_per_mille == 0
+            || self.random.random_range(0..1_000) >= self.plan.doubled_per_mille
+        {
+            return;
+        }
+        let delay = self.random.random_range(0..MAX_DOUBLE_DELAY_MICROS);
+        let bytes = bytes.to_vec();
+        self.schedule_after(delay, Event::PeerDatagram { to, from, bytes });
+    }
+
+    /// Cuts the links from one zone to another for [`ZONE_CUT_MICROS`]. The processes of both
+    /// zones count as disturbed.
+    pub(super) fn cut_zones(&mut self, from: u8, to: u8) {
+        self.zone_cuts.push((from, to));
+        self.schedule(self.now + ZONE_CUT_MICROS, Event::EndZoneCut(from, to));
+        let ends_at = self.millis() + ZONE_CUT_MICROS / 1_000;
+        let all: Vec<Ipv4Addr> = self.processes.keys().copied().collect();
+        for address in all {
+            if [from, to].contains(&self.zone_of(address)) {
+                self.process_mut(address).last_fault_ended_at = ends_at;
+            }
+        }
+    }
+
     /// Queues a datagram on the link of a balancer. Returns the time until it is sent, in
     /// microseconds, or `None` if the queue is full.
     pub(super) fn queue_on_link(&mut self, from: Ipv4Addr, datagram: &[u8]) -> Option<u64> {
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -16,6 +16,9 @@
 use hyssopstair_flows::balancer::BalancerIdentity;
 use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::balancer::SaveRequest;
+use hyssopstair_flows::detour::PeerWay;
+use hyssopstair_flows::detour::ReceivedMessage;
+use hyssopstair_flows::detour::read_datagram;
 use hyssopstair_flows::host::CheckResult;
 use hyssopstair_flows::host::FlowHost;
 use hyssopstair_flows::host::HostIdentity;
@@ -48,6 +51,9 @@
 use crate::model::server::ModelServer;
 use crate::model::world::links::is_probe;
 
+/// Names of the availability zones.
+const ZONES: [&str; 3] = ["utr-a", "ame-b", "zei-c"];
+
 /// Delay of a datagram between two processes, in microseconds.
 const PEER_DELAY_MICROS: u64 = 500;
 
@@ -128,6 +134,10 @@
     /// The store comes back from a copy that is this many milliseconds old, and balancers
     /// learn of its new era.
     RestoreStore(u64),
+    /// Processes of two zones do not reach each other for 6 s.
+    CutZones(u8, u8),
+    /// Nothing passes from the first zone to the second for 6 s.
+    CutOneWay(u8, u8),
 }
 
 /// A policy by which balancers choose hosts for new flows.
@@ -185,8 +195,14 @@
     pub saves_flows: bool,
     /// Whether the clocks of some instances are set back between the starts of processes.
     pub sets_clocks_back: bool,
+    /// Number of availability zones. Processes and callers are spread over them by their
+    /// numbers, and routers use the balancers of the caller's zone.
+    pub zones: u8,
     /// Number of datagrams lost per thousand.
     pub loss_per_mille: u32,
+    /// Number of datagrams between processes that arrive twice, the second time up to 300 ms
+    /// later, per thousand.
+    pub doubled_per_mille: u32,
     /// Faults with their times in milliseconds.
     pub faults: Vec<(u64, Fault)>,
     /// Duration of the simulation in milliseconds.
@@ -267,6 +283,9 @@
     CompleteStop(Ipv4Addr),
     /// A process can reach the others again.
     EndPartition(Ipv4Addr),
+    /// Nothing passes from the first zone to the second until the event
+    /// [`Event::EndZoneCut`].
+    EndZoneCut(u8, u8),
     /// The server beside a host starts.
     StartServer(u8),
     /// A fault of the plan occurs.
@@ -335,6 +354,8 @@
     start_count: u64,
     /// Service of each host's server.
     host_services: Vec<&'static str>,
+    /// Pairs of zones of which the first does not reach the second.
+    zone_cuts: Vec<(u8, u8)>,
     /// Service of the route in each version of the routes, with the time of the change in
     /// milliseconds.
     route_versions: Vec<(u64, &'static str)>,
@@ -372,6 +393,7 @@
                     }
                 })
                 .collect(),
+            zone_cuts: Vec::new(),
             route_versions: vec![(0, fixture::SERVICE)],
             plan,
         };
@@ -499,6 +521,7 @@
             Event::CompleteSaves { balancer, saves } => self.complete_saves(balancer, saves),
             Event::CompleteStop(address) => self.end_process(address, true),
             Event::EndPartition(address) => self.process_mut(address).is_partitioned = false,
+            Event::EndZoneCut(from, to) => self.zone_cuts.retain(|cut| *cut != (from, to)),
             Event::StartServer(host) => self.start_server(host),
             Event::Fault(fault) => self.apply_fault(fault),
         }
@@ -556,7 +579,7 @@
             .map(fixture::balancer_address)
             .collect();
         let max_flow_age = Duration::from_secs(60);
-        let zone = "utr-a".to_owned();
+        let zone = ZONES[usize::from(self.zone_of(address))].to_owned();
         let table = self.route_table();
         let role = if address.octets()[2] == 2 {
             let identity = BalancerIdentity {
@@ -723,6 +746,7 @@
                     };
                     if !self.draw_loss() {
                         let bytes = bytes.to_vec();
+                        self.double_datagram(to, from, &bytes);
                         self.schedule_after(
                             queue_time + PEER_DELAY_MICROS,
                             Event::PeerDatagram { to, from, bytes },
@@ -753,34 +777,44 @@
         if !is_known || self.processes[&to].is_partitioned || self.processes[&from].is_partitioned {
             return;
         }
+        let zones = (self.zone_of(from), self.zone_of(to));
+        if self.zone_cuts.contains(&zones) {
+            return;
+        }
         let until = self.processes[&to].frozen_until;
         if until > self.now {
             let bytes = bytes.to_vec();
             self.schedule(until, Event::PeerDatagram { to, from, bytes });
             return;
         }
-        let Some((message, payload)) = CarryMessage::decode(bytes) else {
+        let Ok(received) = read_datagram(bytes, from, to) else {
             return;
         };
+        let ReceivedMessage {
+            from,
+            way,
+            message,
+            payload,
+        } = received;
         let now = self.time();
         let packet = ModelPacket::decode(payload).map(|packet| RawPacket {
             header: packet.header(),
             bytes: payload,
         });
         let packet = packet.filter(|_| carries_packet(&message));
-        self.update_process(to, |role, outbox| match role {
-            ProcessRole::Balancer(balancer) => {
-                balancer.receive_peer_message(
-                    from,
-                    &message,
-                    packet.as_ref(),
-                    payload,
-                    now,
-                    outbox,
-                );
+        let packet = packet.as_ref();
+        self.update_process(to, |role, outbox| match (role, way) {
+            (ProcessRole::Balancer(balancer), PeerWay::Direct) => {
+                balancer.receive_peer_message(from, &message, packet, payload, now, outbox);
             }
-            ProcessRole::Host(host) => {
-                host.receive_peer_message(from, &message, packet.as_ref(), payload, now, outbox)
+            (ProcessRole::Balancer(balancer), PeerWay::Via(relay)) => {
+                balancer.receive_detoured_message(from, relay, &message, packet, now, outbox);
+            }
+            (ProcessRole::Host(host), PeerWay::Direct) => {
+                host.receive_peer_message(from, &message, packet, payload, now, outbox);
+            }
+            (ProcessRole::Host(host), PeerWay::Via(relay)) => {
+                host.receive_detoured_message(from, relay, &message, packet, now, outbox);
             }
         });
     }
@@ -857,6 +891,7 @@
                     zone: "utr-a",
                     flow_hash: hash,
                     excluded: &[],
+                    unanswered_zone: None,
                     evacuated_zones: &[],
                 };
                 match place_flow(all, &request, &timeouts, now) {
@@ -913,8 +948,10 @@
     /// Delivers a caller's packet to a balancer. As routers do, it uses all balancers if
     /// fewer than half pass their probes.
     fn route_packet(&mut self, packet: &ModelPacket, _sent: u64) {
+        let zone = self.zone_of(*packet.source.ip());
         let all: Vec<Ipv4Addr> = (1..=self.plan.balancers)
             .map(fixture::balancer_address)
+            .filter(|address| self.zone_of(*address) == zone)
             .collect();
         let mut ready: Vec<Ipv4Addr> = all
             .iter()
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -321,6 +321,16 @@
             "found another pace of the server",
             json!({ "limit": limit, "cause": format!("{cause:?}") }),
         ),
+        FlowEvent::Detoured { peer, relay } => (
+            "process",
+            "sent a message to a peer through another process",
+            json!({ "peer": peer, "relay": relay }),
+        ),
+        FlowEvent::Relayed { origin, target } => (
+            "process",
+            "passed on a message for two other processes",
+            json!({ "origin": origin, "target": target }),
+        ),
         FlowEvent::Dropped { reason } => (
             "process",
             "dropped a datagram",
--- a/crates/hyssopstaird/src/carry/part.rs
+++ b/crates/hyssopstaird/src/carry/part.rs
@@ -4,6 +4,8 @@
 
 use hyssopstair_flows::balancer::BalancerIdentity;
 use hyssopstair_flows::balancer::FlowBalancer;
+use hyssopstair_flows::detour::PeerWay;
+use hyssopstair_flows::detour::ReceivedMessage;
 use hyssopstair_flows::evacuation::EvacuatedZones;
 use hyssopstair_flows::host::FlowHost;
 use hyssopstair_flows::host::HostIdentity;
@@ -13,7 +15,6 @@
 use hyssopstair_flows::routes::RouteTable;
 use hyssopstair_rules::carry_settings::CarryRole;
 use hyssopstair_rules::carry_settings::CarrySettings;
-use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::StoreEra;
 use hyssopstair_wire::time::MonotonicTime;
 
@@ -76,23 +77,28 @@
         }
     }
 
-    /// Handles a message from a peer. `payload` holds the bytes that follow the message,
-    /// and `packet` the packet parsed from them, if they are one.
+    /// Handles a message from a peer. `packet` is the packet parsed from the bytes that follow
+    /// the message, if they are one.
     pub fn receive_peer_message(
         &mut self,
-        from: Ipv4Addr,
-        message: &CarryMessage,
+        received: &ReceivedMessage<'_>,
         packet: Option<&RawPacket<'_>>,
-        payload: &[u8],
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        match self {
-            Self::Balancer(balancer) => {
+        let (from, message, payload) = (received.from, &received.message, received.payload);
+        match (self, received.way) {
+            (Self::Balancer(balancer), PeerWay::Direct) => {
                 balancer.receive_peer_message(from, message, packet, payload, now, outbox);
             }
-            Self::Host(host) => {
-                host.receive_peer_message(from, message, packet, payload, now, outbox)
+            (Self::Balancer(balancer), PeerWay::Via(relay)) => {
+                balancer.receive_detoured_message(from, relay, message, packet, now, outbox);
+            }
+            (Self::Host(host), PeerWay::Direct) => {
+                host.receive_peer_message(from, message, packet, payload, now, outbox);
+            }
+            (Self::Host(host), PeerWay::Via(relay)) => {
+                host.receive_detoured_message(from, relay, message, packet, now, outbox);
             }
         }
     }
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -14,6 +14,7 @@
 use hyssopstair_adapter::packet::decode_header;
 use hyssopstair_adapter::packet::encode_reset;
 use hyssopstair_flows::balancer::SaveRequest;
+use hyssopstair_flows::detour::read_datagram;
 use hyssopstair_flows::drain::DrainProgress;
 use hyssopstair_flows::event::DropReason;
 use hyssopstair_flows::event::FlowEvent;
@@ -24,7 +25,6 @@
 use hyssopstair_rules::carry_settings::CarryRole;
 use hyssopstair_rules::carry_settings::CarrySettings;
 use hyssopstair_rules::carry_settings::ServerSettings;
-use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 use serde_json::json;
@@ -233,22 +233,20 @@
                 break;
             };
             let now = self.clock.now();
-            let Some((message, payload)) = CarryMessage::decode(&buffer[..length]) else {
-                self.record_malformed_datagram(now);
-                continue;
+            let own_address = *self.settings.packets.ip();
+            let received = match read_datagram(&buffer[..length], from, own_address) {
+                Ok(received) => received,
+                Err(reason) => {
+                    self.record_dropped_datagram(reason, now);
+                    continue;
+                }
             };
-            let packet = decode_header(payload).map(|header| RawPacket {
+            let packet = decode_header(received.payload).map(|header| RawPacket {
                 header,
-                bytes: payload,
+                bytes: received.payload,
             });
-            self.forwarder.receive_peer_message(
-                from,
-                &message,
-                packet.as_ref(),
-                payload,
-                now,
-                &mut self.outbox,
-            );
+            self.forwarder
+                .receive_peer_message(&received, packet.as_ref(), now, &mut self.outbox);
             self.flush_outbox(now);
         }
     }
@@ -261,7 +259,7 @@
             };
             let now = self.clock.now();
             let Some(header) = decode_header(&buffer[..length]) else {
-                self.record_malformed_datagram(now);
+                self.record_dropped_datagram(DropReason::Malformed, now);
                 continue;
             };
             if header.is_bounced {
@@ -277,10 +275,8 @@
         }
     }
 
-    fn record_malformed_datagram(&mut self, now: MonotonicTime) {
-        self.outbox.record_event(FlowEvent::Dropped {
-            reason: DropReason::Malformed,
-        });
+    fn record_dropped_datagram(&mut self, reason: DropReason, now: MonotonicTime) {
+        self.outbox.record_event(FlowEvent::Dropped { reason });
         self.flush_outbox(now);
     }
 
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -165,6 +165,26 @@
 /// Maximum length of the name of an emptied zone, in bytes.
 pub const MAX_ZONE_NAME_BYTES: usize = 63;
 
+/// A version of the messages between processes. Hellos name the newest one that their sender
+/// understands, and a pair of processes speaks the lower of its two.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PeerVersion(pub u16);
+
+impl PeerVersion {
+    /// Builds whose hellos name no version.
+    pub const UNNAMED: Self = Self(1);
+    /// Adds [`CarryMessage::Detour`].
+    pub const DETOURS: Self = Self(2);
+    /// The newest version that this build understands.
+    pub const CURRENT: Self = Self::DETOURS;
+}
+
+impl Default for PeerVersion {
+    fn default() -> Self {
+        Self::UNNAMED
+    }
+}
+
 /// Fields that follow a hello. A process that does not know them ignores the bytes after the
 /// message, and one that misses them uses the defaults, so that processes of different builds
 /// understand each other.
@@ -174,13 +194,24 @@
     pub store_era: Option<StoreEra>,
     /// The emptied zones, if the sender knows them.
     pub evacuation: Option<EvacuationNotice>,
+    /// The newest version of the messages that the sender understands.
+    pub version: PeerVersion,
+    /// Time since the last message of the receiver arrived at the sender, in milliseconds;
+    /// `None` if none has arrived or the sender does not say.
+    pub silence_millis: Option<u32>,
 }
 
 impl HelloExtension {
     /// Returns the encoded fields, one after the other.
     pub fn encode(&self) -> Vec<u8> {
         // Encoding into a vector cannot fail; if it did, the receiver would use the defaults.
-        postcard::to_stdvec(&(self.store_era, &self.evacuation)).unwrap_or_default()
+        let fields = (
+            self.store_era,
+            &self.evacuation,
+            self.version,
+            self.silence_millis,
+        );
+        postcard::to_stdvec(&fields).unwrap_or_default()
     }
 
     /// Decodes the bytes after a hello. A field that is missing or malformed, and those that
@@ -191,8 +222,16 @@
             return extension;
         };
         extension.store_era = store_era;
-        if let Ok((evacuation, _)) = postcard::take_from_bytes(rest) {
-            extension.evacuation = evacuation;
+        let Ok((evacuation, rest)) = postcard::take_from_bytes(rest) else {
+            return extension;
+        };
+        extension.evacuation = evacuation;
+        let Ok((version, rest)) = postcard::take_from_bytes(rest) else {
+            return extension;
+        };
+        extension.version = version;
+        if let Ok((silence_millis, _)) = postcard::take_from_bytes(rest) {
+            extension.silence_millis = silence_millis;
         }
         extension
     }
@@ -296,9 +335,43 @@
         /// Number of the request.
         number: u32,
     },
+    /// Asks the receiver to pass on the encoded message that follows, because its sender
+    /// does not reach the target directly. Only processes that name
+    /// [`PeerVersion::DETOURS`] understand it.
+    Detour {
+        /// The process that has sent the message.
+        origin: Ipv4Addr,
+        /// The process that the message is for.
+        target: Ipv4Addr,
+    },
+}
+
+/// Number of kinds of messages that this build knows.
+const MESSAGE_KIND_COUNT: u32 = 12;
+
+/// What a datagram of a peer holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DatagramVerdict<'a> {
+    /// A message, and the bytes that follow it.
+    Message(CarryMessage, &'a [u8]),
+    /// A message of a kind that this build does not know.
+    UnknownKind(u32),
+    /// Bytes that are no message.
+    Malformed,
 }
 
 impl CarryMessage {
+    /// Returns what a datagram holds.
+    pub fn classify(datagram: &[u8]) -> DatagramVerdict<'_> {
+        if let Ok((message, payload)) = postcard::take_from_bytes(datagram) {
+            return DatagramVerdict::Message(message, payload);
+        }
+        match postcard::take_from_bytes::<u32>(datagram) {
+            Ok((kind, _)) if kind >= MESSAGE_KIND_COUNT => DatagramVerdict::UnknownKind(kind),
+            _ => DatagramVerdict::Malformed,
+        }
+    }
+
     /// Appends the encoded message to `buffer`.
     pub fn encode(&self, buffer: &mut Vec<u8>) {
         // Encoding into a vector cannot fail; if it did, the buffer would be left
@@ -311,6 +384,9 @@
     /// Decodes a message and returns it with the remaining bytes, or `None` if it
     /// is malformed.
     pub fn decode(datagram: &[u8]) -> Option<(Self, &[u8])> {
-        postcard::take_from_bytes(datagram).ok()
+        match Self::classify(datagram) {
+            DatagramVerdict::Message(message, payload) => Some((message, payload)),
+            DatagramVerdict::UnknownKind(_) | DatagramVerdict::Malformed => None,
+        }
     }
 }
