Keep released encodings as tests, and play upgrades in the soak

Cause: builds run side by side while instances are replaced, and nothing showed whether the messages of one are read by the other.

--- a/crates/flows/tests/saved_flows.rs
+++ b/crates/flows/tests/saved_flows.rs
@@ -507,3 +507,23 @@
         reset 100.64.0.7:4002 at 5601"#]]
     .assert_eq(&describe_former_flows(&mut outbox));
 }
+
+// A host that is replaced by one of the next build reads the list of its former process, and
+// after a step back a host of the former build reads a list of the next.
+#[test]
+fn a_list_is_encoded_as_released() {
+    let list = SavedFlowList {
+        saved_unix_millis: 1_769_247_347_000,
+        service: "lessons".to_owned(),
+        server_id: "i-7f3a91c2".to_owned(),
+        server_started_unix_millis: 1_769_247_300_000,
+        flows: vec![SavedFlow {
+            flow: opening_packet(4_001).caller_flow(),
+            acknowledged: 70_000,
+        }],
+    };
+    let bytes = list.encode();
+    let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    expect!["01caaefabfc6901b40b8a2f0fabe33076c6573736f6e730a692d3766336139316332a0b3edfabe330164400007a11fc6120001bb03f0a204"].assert_eq(&hex);
+    assert_eq!(SavedFlowList::decode(&bytes), Ok(list));
+}
--- a/crates/soak/src/fleet/events.rs
+++ b/crates/soak/src/fleet/events.rs
@@ -95,6 +95,10 @@
             }
             SoakEvent::WriteConfiguration => self.write_configuration(),
             SoakEvent::EvacuateZone(zone) => self.evacuate_zone(zone, duration),
+            SoakEvent::ReplaceBuild(index, build) => {
+                self.members.borrow_mut()[index].process.set_build(build);
+                self.stop_process(index);
+            }
         }
     }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,6 +8,7 @@
 
 use argh::FromArgs;
 use hyssopstair_soak::plan::SoakPlan;
+use hyssopstair_soak::program::SoakPrograms;
 use hyssopstair_soak::run::SoakOptions;
 use hyssopstair_soak::run::run_plan;
 
@@ -26,6 +27,10 @@
     /// path of the hyssopstaird program
     #[argh(option)]
     program: PathBuf,
+    /// path of the program in another build, with which the run begins; processes are then
+    /// replaced one after the other
+    #[argh(option)]
+    former_program: Option<PathBuf>,
     /// directory for settings and logs
     #[argh(option)]
     directory: PathBuf,
@@ -33,9 +38,15 @@
 
 fn main() -> ExitCode {
     let args: SoakArgs = argh::from_env();
-    let plan = SoakPlan::from_seed(args.seed, args.minutes, args.processes);
+    let mut plan = SoakPlan::from_seed(args.seed, args.minutes, args.processes);
+    if args.former_program.is_some() {
+        plan = plan.with_upgrade();
+    }
     let options = SoakOptions {
-        program: args.program,
+        programs: SoakPrograms {
+            current: args.program,
+            former: args.former_program,
+        },
         directory: args.directory,
     };
     match run_plan(&plan, &options) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 
 use crate::program::ZONE_COUNT;
 
@@ -24,6 +25,9 @@
 /// Number by which the seed of the evacuation differs from that of the plan.
 const EVACUATION_SEED: u64 = 0xe7ac;
 
+/// Number by which the seed of the upgrade differs from that of the plan.
+const UPGRADE_SEED: u64 = 0x0b1d;
+
 /// Time before the end of a run at which an emptied zone is taken back.
 const EVACUATION_END: Duration = Duration::from_millis(1_500);
 
@@ -86,6 +90,17 @@
     WriteConfiguration,
     /// Empties an availability zone, and takes it back at the end of the duration.
     EvacuateZone(u8),
+    /// Terminates a process and restarts it with the given build.
+    ReplaceBuild(usize, SoakBuild),
+}
+
+/// One of the two builds of a run in which processes are replaced one after the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SoakBuild {
+    /// The build with which the run begins.
+    Former,
+    /// The build that replaces it.
+    Current,
 }
 
 /// An event with its time and duration.
@@ -162,6 +177,39 @@
     }
 }
 
+impl SoakPlan {
+    /// Adds an upgrade to the plan, which then begins with the former build. Half of the
+    /// processes are replaced, go back to the former build, and then all are replaced. Each
+    /// replacement is a planned stop, in the middle of the other events.
+    pub fn with_upgrade(mut self) -> Self {
+        let mut random = SmallRng::seed_from_u64(self.seed ^ UPGRADE_SEED);
+        let mut processes: Vec<usize> = (0..self.balancer_count + self.host_count).collect();
+        processes.shuffle(&mut random);
+        let first_half = &processes[..processes.len() / 2];
+        let forward = |process: &usize| SoakEvent::ReplaceBuild(*process, SoakBuild::Current);
+        let back = |process: &usize| SoakEvent::ReplaceBuild(*process, SoakBuild::Former);
+        let events: Vec<SoakEvent> = first_half
+            .iter()
+            .map(forward)
+            .chain(first_half.iter().map(back))
+            .chain(processes.iter().map(forward))
+            .collect();
+        let period = self
+            .run_time
+            .saturating_sub(WARM_UP_TIME + EVENT_FREE_PERIOD);
+        let gap = period / events.len().max(1) as u32;
+        for (number, event) in events.into_iter().enumerate() {
+            self.events.push(TimedEvent {
+                at: WARM_UP_TIME + gap * number as u32,
+                duration: Duration::ZERO,
+                event,
+            });
+        }
+        self.events.sort_by_key(|timed| timed.at);
+        self
+    }
+}
+
 /// Returns the events that bring the store back from a copy, at least one.
 fn choose_restores(seed: u64, end: Duration) -> Vec<TimedEvent> {
     let mut random = SmallRng::seed_from_u64(seed ^ RESTORE_SEED);
--- a/crates/soak/src/program.rs
+++ b/crates/soak/src/program.rs
@@ -26,6 +26,7 @@
 use crate::network::READINESS_PORT;
 use crate::network::SERVER_PORT;
 use crate::network::SoakNetwork;
+use crate::plan::SoakBuild;
 
 /// Number of availability zones that the processes are in.
 pub const ZONE_COUNT: u8 = 3;
@@ -39,6 +40,24 @@
     Host,
 }
 
+/// Paths of the program in its two builds.
+#[derive(Debug, Clone)]
+pub struct SoakPrograms {
+    /// The build that is tested.
+    pub current: PathBuf,
+    /// The build with which the run begins, if the processes are replaced during it.
+    pub former: Option<PathBuf>,
+}
+
+impl SoakPrograms {
+    fn path(&self, build: SoakBuild) -> &Path {
+        match (build, &self.former) {
+            (SoakBuild::Former, Some(former)) => former,
+            (SoakBuild::Former, None) | (SoakBuild::Current, _) => &self.current,
+        }
+    }
+}
+
 /// A process of the system, whether it is running or not.
 #[derive(Debug)]
 pub struct SoakProcess {
@@ -46,7 +65,8 @@
     pub address: Ipv4Addr,
     /// Role of the process.
     pub role: ProcessRole,
-    program_path: PathBuf,
+    programs: SoakPrograms,
+    build: SoakBuild,
     settings_path: PathBuf,
     /// The settings, with `{service}` in place of the name of the service.
     settings_template: String,
@@ -64,7 +84,7 @@
         network: &SoakNetwork,
         role: ProcessRole,
         number: usize,
-        program_path: &Path,
+        programs: &SoakPrograms,
         directory: &Path,
     ) -> Result<Self, Report<SoakError>> {
         let address = match role {
@@ -74,7 +94,8 @@
         let process = Self {
             address,
             role,
-            program_path: program_path.to_owned(),
+            programs: programs.clone(),
+            build: SoakBuild::Former,
             settings_path: directory.join(format!("{role:?}-{number}.yaml")),
             settings_template: build_settings_template(network, role, number, address),
             service: "one",
@@ -111,6 +132,11 @@
         self.write_settings(false)
     }
 
+    /// Sets the build with which the process starts next.
+    pub fn set_build(&mut self, build: SoakBuild) {
+        self.build = build;
+    }
+
     /// Starts the process, unless it is running.
     ///
     /// # Errors
@@ -120,10 +146,11 @@
         if self.child.is_some() {
             return Ok(());
         }
-        let context = || SoakError(format!("failed to start {}", self.program_path.display()));
+        let program = self.programs.path(self.build);
+        let context = || SoakError(format!("failed to start {}", program.display()));
         let log = self.open_log().change_context_lazy(context)?;
         let error_log = log.try_clone().change_context_lazy(context)?;
-        let child = Command::new(&self.program_path)
+        let child = Command::new(program)
             .arg("--carry")
             .arg(&self.settings_path)
             .stdin(Stdio::null())
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,6 +31,7 @@
 use crate::plan::SoakPlan;
 use crate::program::ProcessRole;
 use crate::program::SoakProcess;
+use crate::program::SoakPrograms;
 use crate::program::zone_of_process;
 use crate::relay::SoakRelay;
 use crate::router::SoakRouter;
@@ -45,11 +46,11 @@
 /// Time at the end of a run in which most requests must be answered.
 const FINAL_CHECK_PERIOD: Duration = Duration::from_secs(4);
 
-/// The program and the directory of a run.
+/// The programs and the directory of a run.
 #[derive(Debug, Clone)]
 pub struct SoakOptions {
-    /// Path of the hyssopstaird program.
-    pub program: PathBuf,
+    /// Paths of the hyssopstaird program.
+    pub programs: SoakPrograms,
     /// Directory for settings and logs, which is created if needed.
     pub directory: PathBuf,
 }
@@ -167,7 +168,7 @@
         .await
         .change_context_lazy(context)?;
     let relay = SoakRelay::new(plan.seed, network.store_address());
-    let processes = create_processes(plan, network, &options.program, &options.directory)?;
+    let processes = create_processes(plan, network, &options.programs, &options.directory)?;
     for process in &processes {
         let address = process.address;
         let store_listen_address = network.store_relay_address(address);
@@ -196,14 +197,14 @@
 fn create_processes(
     plan: &SoakPlan,
     network: &SoakNetwork,
-    program: &Path,
+    programs: &SoakPrograms,
     directory: &Path,
 ) -> Result<Vec<SoakProcess>, Report<SoakError>> {
     let balancers = (0..plan.balancer_count).map(|number| (ProcessRole::Balancer, number));
     let hosts = (0..plan.host_count).map(|number| (ProcessRole::Host, number));
     balancers
         .chain(hosts)
-        .map(|(role, number)| SoakProcess::create(network, role, number, program, directory))
+        .map(|(role, number)| SoakProcess::create(network, role, number, programs, directory))
         .collect()
 }
 
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -3,7 +3,9 @@
 use std::path::Path;
 
 use expect_test::expect;
+use hyssopstair_soak::plan::SoakEvent;
 use hyssopstair_soak::plan::SoakPlan;
+use hyssopstair_soak::program::SoakPrograms;
 use hyssopstair_soak::run::SoakOptions;
 use hyssopstair_soak::run::run_plan;
 
@@ -13,11 +15,15 @@
 /// Executes the run of a seed, prints its report, and returns the violated invariants.
 fn run_seed(seed: u64, minutes: f64, process_count: u16) -> Vec<String> {
     let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let program = directory
+        .parent()
+        .expect("the temporary directory has no parent directory")
+        .join("debug/hyssopstaird");
     let options = SoakOptions {
-        program: directory
-            .parent()
-            .expect("the temporary directory has no parent directory")
-            .join("debug/hyssopstaird"),
+        programs: SoakPrograms {
+            current: program,
+            former: None,
+        },
         directory: directory.join(format!("soak-{}-{seed}", std::process::id())),
     };
     let plan = SoakPlan::from_seed(seed, minutes, process_count);
@@ -56,6 +62,28 @@
     assert_eq!(violations, Vec::<String>::new());
 }
 
+#[test]
+fn an_upgrade_replaces_half_steps_back_and_then_replaces_all() {
+    let plan = SoakPlan::from_seed(9, 0.35, 5).with_upgrade();
+    let replacements: Vec<String> = plan
+        .events
+        .iter()
+        .filter(|timed| matches!(timed.event, SoakEvent::ReplaceBuild(..)))
+        .map(|timed| format!("{} ms {:?}", timed.at.as_millis(), timed.event))
+        .collect();
+    expect![[r#"
+        4000 ms ReplaceBuild(4, Current)
+        4888 ms ReplaceBuild(1, Current)
+        5777 ms ReplaceBuild(4, Former)
+        6666 ms ReplaceBuild(1, Former)
+        7555 ms ReplaceBuild(4, Current)
+        8444 ms ReplaceBuild(1, Current)
+        9333 ms ReplaceBuild(2, Current)
+        10222 ms ReplaceBuild(0, Current)
+        11111 ms ReplaceBuild(3, Current)"#]]
+    .assert_eq(&replacements.join("\n"));
+}
+
 #[test]
 fn plan_of_a_seed_is_stable() {
     let plan = SoakPlan::from_seed(9, 0.35, 8);
