Keep queues of servers within half of the target, and flows that can be served

Cause: after an outage all servers are cold and busy for two seconds, and callers of the outage come back beside new ones. A request spent 250 of its 400 ms in the server's queue. Flows were refused after a quarter of their timeout, came back at once as new flows and went before newcomers: 45 % of what servers got. A flow counted as too late after 50 ms, as the answer time, which includes the queue, was taken three times.

Change: a server gets new flows as long as the last request in its queue is answered within half of the route's target latency, between one and a half and three requests a slot, by its own time; balancers know the limit as well. Flows wait until their request can no longer be answered or their caller has given up. The answer time is taken once.

In the simulated outage, requests of the two seconds after it that are answered in time: 2302 of 5254 before, 3656 of 5141 now.

--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -287,8 +287,11 @@
         let opening = self.openings.swap_remove(index);
         self.offer_time.record(now.since(opening.sent_at));
         let offered_hosts = opening.offered_hosts.clone();
+        let target_latency = self
+            .match_route(&flow)
+            .map_or(Duration::ZERO, |route_match| route_match.target_latency);
         for host in &offered_hosts {
-            self.members.record_full(*host, now);
+            self.members.record_full(*host, target_latency, now);
         }
         self.offer_flow(opening.into_new_flow(&offered_hosts), now, outbox);
     }
@@ -371,7 +374,13 @@
             arrived_at: new_flow.arrived_at,
             age_at_arrival: new_flow.age_at_arrival,
             max_fresh_age: max_fresh_age(Duration::ZERO, Duration::ZERO),
-            deadline: new_flow.arrived_at + max_hold_time(Duration::ZERO, false),
+            deadline: new_flow.arrived_at
+                + max_hold_time(
+                    Duration::ZERO,
+                    Duration::ZERO,
+                    new_flow.age_at_arrival,
+                    false,
+                ),
             bytes: new_flow.bytes,
         });
         if rejected.is_some() {
@@ -390,8 +399,14 @@
         outbox: &mut FlowOutbox,
     ) {
         let is_discovery_complete = self.is_discovery_complete(now);
-        let deadline =
-            new_flow.arrived_at + max_hold_time(route_match.timeout, is_discovery_complete);
+        let answer_time = median_answer_time(self.members.hosts(), &route_match.service);
+        let deadline = new_flow.arrived_at
+            + max_hold_time(
+                route_match.timeout,
+                answer_time,
+                new_flow.age_at_arrival,
+                is_discovery_complete,
+            );
         let is_unservable = is_discovery_complete && reason != RefusalReason::NoCapacity;
         if is_unservable || now >= deadline {
             self.refuse_flow(new_flow.flow, reason, outbox);
@@ -402,7 +417,7 @@
             priority: route_match.priority,
             arrived_at: new_flow.arrived_at,
             age_at_arrival: new_flow.age_at_arrival,
-            max_fresh_age: self.max_fresh_age_of(route_match),
+            max_fresh_age: max_fresh_age(route_match.target_latency, answer_time),
             deadline,
             bytes: new_flow.bytes,
         });
@@ -434,12 +449,6 @@
         })
     }
 
-    /// Returns the age up to which flows of a route can still be answered in time.
-    fn max_fresh_age_of(&self, route_match: &RouteMatch) -> Duration {
-        let answer_time = median_answer_time(self.members.hosts(), &route_match.service);
-        max_fresh_age(route_match.target_latency, answer_time)
-    }
-
     fn place_new_flow(
         &self,
         new_flow: &NewFlow,
@@ -449,6 +458,7 @@
         let request = PlacementRequest {
             service: &route_match.service,
             zone: &self.identity.zone,
+            target_latency: route_match.target_latency,
             flow_hash: hash_flow(&new_flow.flow),
             excluded: &new_flow.tried_hosts,
             unanswered_zone: new_flow.unanswered_zone.as_deref(),
--- a/crates/flows/src/holding.rs
+++ b/crates/flows/src/holding.rs
@@ -3,9 +3,9 @@
 //! Overload is often short: bursts fill the queues of all servers for some tens of
 //! milliseconds, and in the second after an outage all callers whose requests were
 //! lost reconnect at once to cold servers. A caller that is refused retries within
-//! milliseconds and soon exhausts its attempts, whereas a short wait in the queue
-//! lets it be served. A flow that has waited for a fraction of its request timeout is
-//! refused, which tells its caller that no request has run.
+//! milliseconds and soon exhausts its attempts, and it comes back as a new flow, which
+//! hides how long it has waited. A flow therefore waits as long as its request can
+//! still be answered, and is then refused, which tells its caller that no request has run.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -13,23 +13,13 @@
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::time::MonotonicTime;
 
-/// Divisor of the request timeout: the quotient is the longest wait for a host. The wait
-/// in the server's own queue is about as long, and an answer after the latency target is
-/// still of some use to the caller.
-const HOLD_DIVISOR: u32 = 4;
-
-/// Maximum wait for a host, whatever the request timeout is. Callers retransmit their
-/// opening packet for the last time after 600 ms.
-const MAX_HOLD_TIME: Duration = Duration::from_millis(600);
+/// Time after the first opening packet of a flow at which its caller gives the flow up.
+const OPENING_LIFETIME: Duration = Duration::from_millis(1_400);
 
 /// Age up to which the first request of a flow can still be answered in time if the target
 /// latency of its route is not known or very short.
 const MIN_FRESH_AGE: Duration = Duration::from_millis(50);
 
-/// Number of answer times that a request takes at a busy server: the answers to those
-/// before it in the server's queue, and its own.
-const BUSY_ANSWER_COUNT: u32 = 3;
-
 /// Age of a flow at the first, second and third transmission of its opening packet.
 const OPENING_AGES: [Duration; 3] = [
     Duration::ZERO,
@@ -67,23 +57,30 @@
     OPENING_AGES[(retransmission_count as usize).min(last)]
 }
 
-/// Returns how long a flow may wait for a host if its requests time out after
-/// `timeout`. Before host discovery is complete, a host that can serve the flow may
-/// still be discovered, so the flow waits as long as its caller retransmits.
-pub fn max_hold_time(timeout: Duration, is_discovery_complete: bool) -> Duration {
-    if is_discovery_complete {
-        (timeout / HOLD_DIVISOR).min(MAX_HOLD_TIME)
+/// Returns how long a flow may wait for a host if its requests time out after `timeout` and
+/// servers take `answer_time` for one, their queues included. The flow was `age_at_arrival`
+/// old when the wait began. Before host discovery is complete, the service of the flow may
+/// not be known, and the flow waits until its caller gives it up.
+pub fn max_hold_time(
+    timeout: Duration,
+    answer_time: Duration,
+    age_at_arrival: Duration,
+    is_discovery_complete: bool,
+) -> Duration {
+    let max_age = if is_discovery_complete {
+        timeout.saturating_sub(answer_time).min(OPENING_LIFETIME)
     } else {
-        MAX_HOLD_TIME
-    }
+        OPENING_LIFETIME
+    };
+    max_age.saturating_sub(age_at_arrival)
 }
 
 /// Returns the age up to which the first request of a flow can still be answered within
 /// `target_latency`, which is zero if it is not known. Servers take `answer_time` for a
-/// request.
+/// request, their queues included.
 pub fn max_fresh_age(target_latency: Duration, answer_time: Duration) -> Duration {
     target_latency
-        .saturating_sub(answer_time * BUSY_ANSWER_COUNT)
+        .saturating_sub(answer_time)
         .max(MIN_FRESH_AGE)
 }
 
--- a/crates/flows/src/host/load.rs
+++ b/crates/flows/src/host/load.rs
@@ -59,6 +59,12 @@
         self.pace.limit(slots)
     }
 
+    /// Returns the number of requests in progress up to which the server gets new flows whose
+    /// callers expect an answer within `target_latency`, which is zero if it is not known.
+    pub(super) fn limit_within(&self, slots: u16, target_latency: Duration) -> u16 {
+        self.pace.limit_within(slots, target_latency)
+    }
+
     /// Returns whether the server may get a new flow now, by its pace.
     pub(super) fn admits(&self, now: MonotonicTime) -> bool {
         self.pace.admits(now)
--- a/crates/flows/src/host/pace.rs
+++ b/crates/flows/src/host/pace.rs
@@ -12,6 +12,7 @@
 
 use crate::event::PaceChangeCause;
 use crate::room::MAX_REQUESTS_PER_SLOT;
+use crate::room::requests_within;
 
 /// Limit for a server that has just started, in requests for each slot.
 const START_REQUESTS_PER_SLOT: f64 = 2.0;
@@ -136,6 +137,13 @@
         }
     }
 
+    /// Returns [`limit`](Self::limit) for a flow whose caller expects an answer within
+    /// `target_latency`, which is zero if it is not known.
+    pub(super) fn limit_within(&self, slots: u16, target_latency: Duration) -> u16 {
+        let usual_time = Duration::from_secs_f64(self.usual_seconds.min(60.0));
+        requests_within(slots, usual_time, target_latency).min(self.limit(slots))
+    }
+
     /// Begins anew for a server that has just started.
     pub(super) fn restart(&mut self, slots: u16) -> Option<PaceChange> {
         *self = Self::new(self.is_enabled);
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -15,10 +15,10 @@
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
-use crate::room::MAX_REQUESTS_PER_SLOT;
 use crate::room::estimated_requests;
 use crate::room::full_time;
 use crate::room::has_room;
+use crate::room::request_limit;
 
 /// Minimum interval between hellos to the same peer. It bounds the age of load reports;
 /// a quarter of a second costs a balancer 40 datagrams a second with ten hosts.
@@ -94,6 +94,8 @@
     pub avoided_until: MonotonicTime,
     /// Time until which it counts as full because it has turned a flow away.
     pub full_until: MonotonicTime,
+    /// Target latency of that flow; zero if not known.
+    pub full_target: Duration,
     /// Whether its server may hold flows that are missing from its table.
     pub is_relearning: bool,
     /// Whether its server started recently.
@@ -111,10 +113,10 @@
             && now.since(self.peer.last_seen_at) < timeouts.suspect_after
     }
 
-    /// Returns whether the host probably accepts another flow of this balancer.
-    pub fn may_accept(&self, now: MonotonicTime) -> bool {
-        let slots = f64::from(self.load.slots.max(1));
-        let limit = slots * f64::from(MAX_REQUESTS_PER_SLOT);
+    /// Returns whether the host probably accepts another flow of this balancer, whose caller
+    /// expects an answer within `target_latency`; zero if not known.
+    pub fn may_accept(&self, target_latency: Duration, now: MonotonicTime) -> bool {
+        let limit = f64::from(request_limit(&self.load, target_latency));
         now >= self.full_until && self.estimated_requests(now) < limit
     }
 
@@ -386,10 +388,12 @@
         }
     }
 
-    /// Records that a host has turned a flow away, because its server has no room.
-    pub fn record_full(&mut self, address: Ipv4Addr, now: MonotonicTime) {
+    /// Records that a host has turned a flow away, because its server has no room for requests
+    /// that are to be answered within `target_latency`; zero if not known.
+    pub fn record_full(&mut self, address: Ipv4Addr, target_latency: Duration, now: MonotonicTime) {
         let balancer_count = self.balancers.len() + 1;
         if let Some(record) = self.host_mut(address) {
+            record.full_target = target_latency;
             record.full_until = now + full_time(&record.load, balancer_count);
         }
     }
@@ -401,7 +405,7 @@
             record.reported_at = now;
             record.flows_since_report = 0;
             record.peer.last_seen_at = now;
-            if has_room(&load) {
+            if has_room(&load, record.full_target) {
                 record.full_until = MonotonicTime::default();
             }
             record.avoided_until = MonotonicTime::default();
@@ -436,6 +440,7 @@
             flows_since_report: 0,
             avoided_until: MonotonicTime::default(),
             full_until: MonotonicTime::default(),
+            full_target: Duration::ZERO,
             is_relearning: hello.is_relearning,
             is_server_new: hello.is_server_new,
             is_stopping: hello.is_stopping,
@@ -445,10 +450,11 @@
             Ok(index) => {
                 let outcome = compare_hellos(&self.hosts[index].peer, &record.peer);
                 if outcome != HelloOutcome::Stale {
-                    let full_until = self.hosts[index].full_until;
-                    self.hosts[index] = record;
-                    if outcome == HelloOutcome::Updated && !has_room(&hello.load) {
-                        self.hosts[index].full_until = full_until;
+                    let former = std::mem::replace(&mut self.hosts[index], record);
+                    let is_full = !has_room(&hello.load, former.full_target);
+                    if outcome == HelloOutcome::Updated && is_full {
+                        self.hosts[index].full_until = former.full_until;
+                        self.hosts[index].full_target = former.full_target;
                     }
                 }
                 outcome
--- a/crates/flows/src/placing.rs
+++ b/crates/flows/src/placing.rs
@@ -56,6 +56,8 @@
     pub service: &'a str,
     /// Availability zone of the balancer.
     pub zone: &'a str,
+    /// Time within which the caller expects an answer; zero if not known.
+    pub target_latency: Duration,
     /// Hash of the flow.
     pub flow_hash: u64,
     /// Hosts that the flow must not be offered to again.
@@ -119,7 +121,7 @@
     let usable = prefer_answering_zones(usable, request.unanswered_zone);
     let usable: Vec<&HostRecord> = usable
         .into_iter()
-        .filter(|record| record.may_accept(now))
+        .filter(|record| record.may_accept(request.target_latency, now))
         .collect();
     if usable.is_empty() {
         return Placement::Full;
--- a/crates/flows/src/room.rs
+++ b/crates/flows/src/room.rs
@@ -15,6 +15,10 @@
 /// Further flows are held at the balancers, which know the age of each.
 pub const MAX_REQUESTS_PER_SLOT: u16 = 3;
 
+/// Share of the target latency that a request may spend at its server, in the queue and in
+/// work. In the other half it finds a host and travels.
+const SERVER_SHARE: f64 = 0.5;
+
 /// Answer time that is assumed while a host has reported none.
 const DEFAULT_ANSWER_TIME: Duration = Duration::from_millis(20);
 
@@ -26,9 +30,37 @@
 /// balancers have flows that wait.
 const SHARE_EXCESS: u32 = 8;
 
-/// Returns whether a load report shows that the server may get new flows.
-pub fn has_room(load: &CarryLoad) -> bool {
-    load.in_progress < load.slots.max(1).saturating_mul(MAX_REQUESTS_PER_SLOT)
+/// Returns the number of requests in progress up to which a server that takes `request_time`
+/// for one gets new flows whose callers expect an answer within `target_latency`, which is
+/// zero if it is not known. The last of them is answered within [`SERVER_SHARE`] of that time,
+/// but there are enough that no slot is idle until the next flow comes.
+pub fn requests_within(slots: u16, request_time: Duration, target_latency: Duration) -> u16 {
+    let slots = slots.max(1);
+    let maximum = slots.saturating_mul(MAX_REQUESTS_PER_SLOT);
+    if target_latency.is_zero() || request_time.is_zero() {
+        return maximum;
+    }
+    let requests_per_slot =
+        target_latency.as_secs_f64() * SERVER_SHARE / request_time.as_secs_f64();
+    let request_count = f64::from(slots) * requests_per_slot;
+    (request_count as u16).clamp(slots.saturating_add(slots.div_ceil(2)), maximum)
+}
+
+/// Returns whether a load report shows that the server may get new flows whose callers expect
+/// an answer within `target_latency`, which is zero if it is not known.
+pub fn has_room(load: &CarryLoad, target_latency: Duration) -> bool {
+    load.in_progress < request_limit(load, target_latency)
+}
+
+/// Returns [`requests_within`] by a load report.
+pub fn request_limit(load: &CarryLoad, target_latency: Duration) -> u16 {
+    if load.answer_micros == 0 {
+        return requests_within(load.slots, Duration::ZERO, target_latency);
+    }
+    // The reported answer time includes the wait for the requests that were there before.
+    let requests_per_slot = f64::from(load.mean_sixteenths) / 16.0 / f64::from(load.slots.max(1));
+    let request_time = answer_time(load).div_f64(requests_per_slot.max(1.0));
+    requests_within(load.slots, request_time, target_latency)
 }
 
 /// Returns how long a host counts as full after it has turned a flow away, if
--- a/crates/flows/tests/detour.rs
+++ b/crates/flows/tests/detour.rs
@@ -47,6 +47,7 @@
         callers: 60,
         slots: 4,
         work_micros: (10_000, 30_000),
+        cold_percent: 100,
         slow_hosts: 0,
         failing_hosts: 0,
         policy: PlacingPolicy::Product,
--- a/crates/flows/tests/fuzz.rs
+++ b/crates/flows/tests/fuzz.rs
@@ -51,6 +51,7 @@
         callers: random.random_range(10..=80),
         slots: random.random_range(1..=3),
         work_micros: (5_000, 40_000),
+        cold_percent: 100,
         slow_hosts: 0,
         failing_hosts: 0,
         policy: PlacingPolicy::Product,
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -178,6 +178,8 @@
     pub slots: u16,
     /// Minimum and maximum work of a request, in microseconds.
     pub work_micros: (u64, u64),
+    /// Time that a request takes at a server in its first two seconds, in percent of the usual.
+    pub cold_percent: u64,
     /// Number of hosts, from the first, whose servers take four times as long.
     pub slow_hosts: u8,
     /// Number of hosts, up to the last, whose servers fail every request within a
@@ -889,6 +891,7 @@
                 let request = PlacementRequest {
                     service,
                     zone: "utr-a",
+                    target_latency: Duration::ZERO,
                     flow_hash: hash,
                     excluded: &[],
                     unanswered_zone: None,
--- a/crates/flows/tests/model/world/servers.rs
+++ b/crates/flows/tests/model/world/servers.rs
@@ -17,11 +17,15 @@
 use crate::model::world::HEARTBEAT_INTERVAL_MICROS;
 use crate::model::world::HEARTBEAT_RETRY_MICROS;
 use crate::model::world::ProcessRole;
+use crate::model::world::START_UNIX_MILLIS;
 use crate::model::world::World;
 
 /// Time after which a failing server answers, in microseconds.
 const FAILURE_TIME_MICROS: u64 = 500;
 
+/// Time after its start for which a server is cold, in milliseconds.
+const COLD_MILLIS: u64 = 2_000;
+
 /// Factor by which the requests of a slow server take longer.
 const SLOW_FACTOR: u64 = 4;
 
@@ -103,7 +107,14 @@
             ServerReaction::Run => {
                 let incarnation = server.incarnation;
                 let queued = u64::from(server.running_requests.saturating_sub(self.plan.slots));
+                let age_millis = START_UNIX_MILLIS + self.now / 1_000 - server.started_unix_millis;
+                let percent = if age_millis < COLD_MILLIS {
+                    self.plan.cold_percent
+                } else {
+                    100
+                };
                 let (min_work, max_work) = self.plan.work_micros;
+                let (min_work, max_work) = (min_work * percent / 100, max_work * percent / 100);
                 let slowdown = if host <= self.plan.slow_hosts {
                     SLOW_FACTOR
                 } else {
--- a/crates/flows/tests/outage.rs
+++ b/crates/flows/tests/outage.rs
@@ -29,6 +29,7 @@
         callers: 250,
         slots: 2,
         work_micros: (20_000, 30_000),
+        cold_percent: 100,
         slow_hosts: 0,
         failing_hosts: 0,
         policy: PlacingPolicy::Product,
@@ -91,3 +92,40 @@
         saves flows: true, lost: 403"#]]
     .assert_eq(&results.join("\n"));
 }
+
+// The load: all servers lose power and are cold for two seconds, in which they answer few more
+// requests than new ones are sent, and the callers of the outage come back as well. Requests that
+// can still be answered in time must not wait behind those that are late already.
+#[test]
+fn requests_sent_after_an_outage_are_answered_in_time_by_cold_servers() {
+    let mut totals = (0, 0);
+    let mut lost_count = 0;
+    for seed in 0..4 {
+        let mut world = World::new(
+            WorldPlan {
+                hosts: 16,
+                callers: 250,
+                work_micros: (25_000, 35_000),
+                cold_percent: 160,
+                max_pause_millis: 500,
+                link_bytes_per_second: None,
+                ..outage_plan()
+            },
+            seed,
+        );
+        world.run();
+        assert!(world.oracle.violations().is_empty());
+        let tally = world.tally;
+        lost_count += tally.refused + tally.given_up;
+        let first_second = (OUTAGE_MILLIS / 1_000) as usize + 1;
+        for (in_time, total) in &world.results_by_second[first_second..first_second + 2] {
+            totals.0 += in_time;
+            totals.1 += total;
+        }
+    }
+    let (in_time, total) = totals;
+    expect!["in time: 3656 of 5141, refused or given up: 0"].assert_eq(&format!(
+        "in time: {in_time} of {total}, refused or given up: {lost_count}"
+    ));
+    assert!(in_time * 2 > total, "most of them are late or lost");
+}
