Offer late flows in the order in which they are refused

Cause: among waiting flows that are late already, the newest went first, and the oldest were refused. A late answer is worth the same whenever it comes.

Change: late flows go by priority, then the one that is refused first.

--- a/crates/flows/src/holding.rs
+++ b/crates/flows/src/holding.rs
@@ -121,7 +121,7 @@
             .iter()
             .enumerate()
             .filter(|(_, held_flow)| matches(held_flow))
-            .min_by_key(|(_, held_flow)| sort_key(held_flow, now))?;
+            .min_by_key(|(_, held_flow)| rank_flow(held_flow, now))?;
         Some(self.flows.swap_remove(index))
     }
 
@@ -140,13 +140,22 @@
     }
 }
 
-/// Returns the sort key of a flow, lowest first: flows that can be answered in time
-/// before late ones, then by priority, then the newest first.
-fn sort_key(held_flow: &HeldFlow, now: MonotonicTime) -> (bool, u8, Reverse<MonotonicTime>) {
+/// The rank of a waiting flow, the lowest first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum HoldRank {
+    /// The flow can be answered in time. By priority, then the newest first: under lasting
+    /// overload the oldest are about to be late, and serving these first makes all late.
+    Fresh(u8, Reverse<MonotonicTime>),
+    /// The flow will be late. By priority, then the one that is refused first: a late answer
+    /// is worth the same whenever it comes, and a refusal nothing.
+    Late(u8, MonotonicTime),
+}
+
+fn rank_flow(held_flow: &HeldFlow, now: MonotonicTime) -> HoldRank {
     let age = now.since(held_flow.arrived_at) + held_flow.age_at_arrival;
-    (
-        age >= held_flow.max_fresh_age,
-        held_flow.priority,
-        Reverse(held_flow.arrived_at),
-    )
+    if age < held_flow.max_fresh_age {
+        HoldRank::Fresh(held_flow.priority, Reverse(held_flow.arrived_at))
+    } else {
+        HoldRank::Late(held_flow.priority, held_flow.deadline)
+    }
 }
--- a/crates/flows/tests/heavy.rs
+++ b/crates/flows/tests/heavy.rs
@@ -198,7 +198,7 @@
     compare_policies(
         plan,
         expect![[r#"
-            Product: in time 974 late 25 unserved 0, feeds 996 short 948, worst second 557
+            Product: in time 975 late 24 unserved 0, feeds 996 short 949, worst second 572
             BestHost: in time 891 late 89 unserved 18, feeds 985 short 745, worst second 390
             LeastFlows: in time 921 late 65 unserved 13, feeds 989 short 841, worst second 393
             PlainHash: in time 937 late 52 unserved 10, feeds 993 short 876, worst second 456"#]],
--- a/crates/flows/tests/room.rs
+++ b/crates/flows/tests/room.rs
@@ -194,6 +194,35 @@
     assert_eq!(order, [2, 1, 3]);
 }
 
+/// Failure: of the flows that are late already, the newest go first, and the oldest are refused
+/// although a late answer would have been worth as much to them.
+#[test]
+fn late_flows_go_in_the_order_in_which_they_are_refused() {
+    let held_flow = |port, arrived, timeout| HeldFlow {
+        flow: opening_packet(port).caller_flow(),
+        priority: 1,
+        arrived_at: at(arrived),
+        age_at_arrival: Duration::ZERO,
+        max_fresh_age: Duration::from_millis(50),
+        deadline: at(arrived + timeout),
+        bytes: Vec::new(),
+    };
+    let mut queue = HoldQueue::default();
+    for flow in [
+        held_flow(1, 200, 700),
+        held_flow(2, 0, 700),
+        held_flow(3, 100, 1_400),
+        held_flow(4, 480, 700),
+    ] {
+        assert_eq!(queue.push(flow), None);
+    }
+    let mut order = Vec::new();
+    while let Some(flow) = queue.take_next(at(500), |_| true) {
+        order.push(flow.flow.caller.port());
+    }
+    assert_eq!(order, [4, 2, 1, 3]);
+}
+
 /// Failure: a caller that is refused comes back at once as a new flow, and takes the place of one
 /// that can still be in time.
 #[test]
