Split the host's decisions and the event loop by what their parts do

host/ownership.rs answers whether the server holds a flow, host/tracking.rs follows the packets to and from it; process/commands.rs handles commands, process/stopping.rs decides when a process may end. One constant says how long to wait before a call of the store is repeated. No behaviour changes.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -384,8 +384,7 @@
         let way = self
             .detours
             .way_to(owner, hash_flow(flow), &self.members, now);
-        let message = CarryMessage::Forward(self.build_forward_header(ForwardPurpose::Owner));
-        self.detours.send(way, owner, &message, bytes, outbox);
+        self.send_to_owner(way, owner, bytes, outbox);
     }
 
     /// Forwards a packet that the caller has repeated on another way as well. The direct way
@@ -405,11 +404,15 @@
             .detours
             .way_around(owner, flow_hash, &self.members, now);
         if is_direct && way != PeerWay::Direct {
-            let message = CarryMessage::Forward(self.build_forward_header(ForwardPurpose::Owner));
-            self.detours.send(way, owner, &message, bytes, outbox);
+            self.send_to_owner(way, owner, bytes, outbox);
         }
     }
 
+    fn send_to_owner(&self, way: PeerWay, owner: Ipv4Addr, bytes: &[u8], outbox: &mut FlowOutbox) {
+        let message = CarryMessage::Forward(self.build_forward_header(ForwardPurpose::Owner));
+        self.detours.send(way, owner, &message, bytes, outbox);
+    }
+
     fn build_forward_header(&self, purpose: ForwardPurpose) -> CarryHeader {
         CarryHeader {
             purpose,
--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -12,30 +12,27 @@
 mod cold;
 mod load;
 mod opening;
+mod ownership;
 mod pace;
 mod peers;
 mod records;
 mod saved_flows;
 mod server;
+mod tracking;
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use hyssopstair_wire::carried::CarryHeader;
-use hyssopstair_wire::carried::CarryMessage;
-use hyssopstair_wire::carried::FlowKey;
-use hyssopstair_wire::carried::FlowQuestion;
 use hyssopstair_wire::carried::ForwardPurpose;
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::detour::DetourTable;
 use crate::evacuation::EvacuationReplica;
-use crate::event::BreakReason;
 use crate::event::FlowEvent;
 use crate::host::cold::ColdLimiter;
 use crate::host::load::LoadMeter;
-use crate::host::records::FlowPhase;
 use crate::host::records::FlowRecord;
 use crate::host::saved_flows::SavedFlowState;
 pub use crate::host::server::CheckResult;
@@ -45,7 +42,6 @@
 use crate::outbox::Destination;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
-use crate::ranking::hash_flow;
 use crate::route_transfer::RouteReplica;
 use crate::routes::RouteTable;
 use crate::table::FlowTable;
@@ -53,10 +49,6 @@
 /// Interval between ticks.
 pub const HOST_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time after the start of a host within which a running server makes itself known: two
-/// heartbeats, which are sent every 1.2 s, and a margin.
-const SERVER_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// Number of shards of the flow table that are swept in each tick. A pass over the whole
 /// table takes more than a second.
 const SHARDS_PER_TICK: usize = 12;
@@ -269,321 +261,4 @@
         self.is_stopping = true;
         self.send_hellos(now, outbox);
     }
-
-    /// Handles a packet of a flow that is assumed to be open already.
-    fn receive_established_packet(
-        &mut self,
-        header: &CarryHeader,
-        packet: &RawPacket<'_>,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        let flow = packet.header.caller_flow();
-        let is_search = header.purpose != ForwardPurpose::Owner;
-        let acknowledged = packet.header.acknowledged_position();
-        let Some(record) = self.flows.get_mut(&flow) else {
-            self.receive_unknown_flow(header, packet, now, outbox);
-            return;
-        };
-        match record.phase {
-            FlowPhase::Absent => {
-                self.decline_packet(header, packet, now, outbox);
-                return;
-            }
-            FlowPhase::Broken if !record.continues_stream(acknowledged) => {
-                // The flow may continue at another server, also if the balancer takes this
-                // host for its owner.
-                self.decline_packet(header, packet, now, outbox);
-                return;
-            }
-            FlowPhase::Broken => {
-                outbox.enqueue_reset(flow, packet.header.acknowledged);
-                return;
-            }
-            FlowPhase::Offered if !record.continues_stream(acknowledged) => {
-                // The caller accepted the answer of another server.
-                self.decline_packet(header, packet, now, outbox);
-                return;
-            }
-            FlowPhase::Probed => {
-                // The balancer that asked last gets the result of the probe.
-                record.forward_header = Some(Box::new(header.clone()));
-            }
-            FlowPhase::Offered | FlowPhase::Open | FlowPhase::Closed => {}
-        }
-        let is_known = record.phase != FlowPhase::Probed;
-        record.balancer = header.balancer;
-        if is_search && is_known {
-            self.send_claim(flow, header.balancer, now, outbox);
-        }
-        self.deliver_packet(&flow, packet, now, outbox);
-    }
-
-    /// Handles a packet of a flow that is not in the table. If the server may hold the
-    /// flow, the packet is delivered to it as a probe.
-    fn receive_unknown_flow(
-        &mut self,
-        header: &CarryHeader,
-        packet: &RawPacket<'_>,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        if !self.may_hold_unknown_flow(now) || packet.header.opens_flow() {
-            self.decline_packet(header, packet, now, outbox);
-            return;
-        }
-        let flow = packet.header.caller_flow();
-        self.flows
-            .insert(flow, FlowRecord::probed(header.clone(), now));
-        self.deliver_packet(&flow, packet, now, outbox);
-    }
-
-    /// Returns whether the server may hold flows that are not in the table.
-    fn may_hold_unknown_flow(&self, now: MonotonicTime) -> bool {
-        let may_be_running = match self.server.state() {
-            ServerState::Ready | ServerState::Draining => true,
-            ServerState::Unknown => now.since(self.created_at) < SERVER_DISCOVERY_TIMEOUT,
-            ServerState::Down => false,
-        };
-        self.is_relearning && may_be_running
-    }
-
-    /// Tells the balancer that the server does not hold the flow of a packet. A probe is
-    /// answered with a denial; any other packet is returned.
-    fn decline_packet(
-        &self,
-        header: &CarryHeader,
-        packet: &RawPacket<'_>,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        let flow = packet.header.caller_flow();
-        let (message, payload) = match header.purpose {
-            ForwardPurpose::Probe => {
-                let flows = vec![flow];
-                let is_certain = true;
-                (CarryMessage::NotHeld { flows, is_certain }, &[][..])
-            }
-            purpose => (CarryMessage::Returned { purpose }, packet.bytes),
-        };
-        self.send_to_balancer(header.balancer, &flow, &message, payload, now, outbox);
-    }
-
-    /// Sends a message about a flow to a balancer, on the way by which the balancer is reached.
-    fn send_to_balancer(
-        &self,
-        balancer: Ipv4Addr,
-        flow: &FlowKey,
-        message: &CarryMessage,
-        payload: &[u8],
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        let way = self
-            .detours
-            .way_to(balancer, hash_flow(flow), &self.members, now);
-        self.detours.send(way, balancer, message, payload, outbox);
-    }
-
-    /// Answers a balancer's questions about which flows the server holds.
-    fn answer_questions(
-        &mut self,
-        from: Ipv4Addr,
-        questions: &[FlowQuestion],
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        let mut not_held = Vec::new();
-        let mut uncertain = Vec::new();
-        for question in questions {
-            let flow = question.flow;
-            let Some(record) = self.flows.get_mut(&flow) else {
-                if self.may_hold_unknown_flow(now) {
-                    uncertain.push(flow);
-                } else {
-                    not_held.push(flow);
-                }
-                continue;
-            };
-            if record.phase == FlowPhase::Probed {
-                uncertain.push(flow);
-                continue;
-            }
-            if !record.matches_question(question) {
-                not_held.push(flow);
-                continue;
-            }
-            record.balancer = from;
-            self.send_claim(flow, from, now, outbox);
-        }
-        for (flows, is_certain) in [(not_held, true), (uncertain, false)] {
-            if let Some(first_flow) = flows.first().copied() {
-                let message = CarryMessage::NotHeld { flows, is_certain };
-                self.send_to_balancer(from, &first_flow, &message, &[], now, outbox);
-            }
-        }
-    }
-
-    /// Delivers a packet to the server and tracks the caller's side of its flow.
-    fn deliver_packet(
-        &mut self,
-        flow: &FlowKey,
-        packet: &RawPacket<'_>,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        outbox.enqueue_packet(Destination::Server, packet.bytes);
-        self.server.record_delivery(now);
-        let Some(record) = self.flows.get_mut(flow) else {
-            return;
-        };
-        record.last_used_at = now;
-        if packet.header.has_ack {
-            record.acknowledged = packet.header.acknowledged;
-        }
-        if packet.header.opens_flow() {
-            return;
-        }
-        if record.phase == FlowPhase::Offered {
-            record.phase = FlowPhase::Open;
-            self.load.remove_offer(record.offered_at);
-        }
-        if record.record_delivered_data(&packet.header) && record.request_started_at.is_none() {
-            record.request_started_at = Some(now);
-            self.load.begin_request(now);
-        }
-        if packet.header.is_finish || packet.header.is_reset {
-            // The caller no longer waits for an answer.
-            if let Some(started_at) = record.request_started_at.take() {
-                self.load.discard_request(started_at);
-            }
-            record.close_caller_side(packet.header.is_reset);
-        }
-    }
-
-    /// Tracks the server's side of a flow: whether the server holds it, and when it
-    /// answers a request.
-    fn track_server_packet(
-        &mut self,
-        flow: &FlowKey,
-        packet: &RawPacket<'_>,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        let header = &packet.header;
-        let Some(record) = self.flows.get_mut(flow) else {
-            // The flow was opened before this process started.
-            if header.is_open && header.has_ack {
-                let record = FlowRecord::accepted(header.sequence, now);
-                self.flows.insert(*flow, record);
-            } else if !header.is_reset {
-                self.flows.insert(*flow, FlowRecord::observed(now));
-            }
-            return;
-        };
-        record.last_used_at = now;
-        let mut balancer_to_notify = None;
-        if header.is_open && header.has_ack && record.phase == FlowPhase::Offered {
-            record.server_start = Some(header.sequence);
-            balancer_to_notify = Some(record.balancer);
-        }
-        if matches!(record.phase, FlowPhase::Probed | FlowPhase::Absent) && !header.is_reset {
-            record.phase = FlowPhase::Open;
-            balancer_to_notify = Some(record.balancer);
-        }
-        let is_answer = header.data_length > 0 || record.ends_after_unacknowledged_data(header);
-        let is_closed = header.is_finish || header.is_reset;
-        let request_started_at = if is_answer || is_closed {
-            record.request_started_at.take()
-        } else {
-            None
-        };
-        if is_closed {
-            record.close_server_side(header.is_reset);
-        }
-        if let Some(request_started_at) = request_started_at {
-            self.finish_request(flow, request_started_at, is_answer, now, outbox);
-        }
-        if let Some(balancer) = balancer_to_notify {
-            self.send_claim(*flow, balancer, now, outbox);
-        }
-    }
-
-    /// Records that the server answered a request, or closed the flow instead.
-    fn finish_request(
-        &mut self,
-        flow: &FlowKey,
-        started_at: MonotonicTime,
-        is_answer: bool,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        let slots = self.slots();
-        let elapsed = now.since(started_at);
-        if is_answer {
-            self.load.complete_request(started_at, slots, now);
-            outbox.record_event(FlowEvent::Answered {
-                flow: *flow,
-                micros: elapsed.as_micros() as u32,
-            });
-        } else {
-            self.load.fail_request(started_at, slots, now);
-            outbox.record_event(FlowEvent::Unanswered {
-                flow: *flow,
-                waited_millis: elapsed.as_millis() as u32,
-                is_closed: true,
-            });
-        }
-    }
-
-    /// Handles a caller's packet that the server returned because it does not accept it.
-    fn receive_bounced_packet(
-        &mut self,
-        packet: &RawPacket<'_>,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        if packet.header.opens_flow() {
-            self.forward_bounced_opening(packet, now, outbox);
-            return;
-        }
-        let flow = packet.header.caller_flow();
-        let Some(record) = self.flows.get_mut(&flow) else {
-            return;
-        };
-        match record.phase {
-            FlowPhase::Probed => {
-                let header = record.forward_header.take();
-                self.set_phase(&flow, FlowPhase::Absent);
-                if let Some(header) = header {
-                    self.decline_packet(&header, packet, now, outbox);
-                }
-            }
-            FlowPhase::Open => {
-                self.set_phase(&flow, FlowPhase::Broken);
-                outbox.enqueue_reset(flow, packet.header.acknowledged);
-                outbox.record_event(FlowEvent::Broken {
-                    flow,
-                    reason: BreakReason::ServerForgot,
-                });
-            }
-            FlowPhase::Offered | FlowPhase::Closed | FlowPhase::Absent | FlowPhase::Broken => {}
-        }
-    }
-
-    /// Tells a balancer that the server holds a flow.
-    fn send_claim(
-        &self,
-        flow: FlowKey,
-        balancer: Ipv4Addr,
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        if balancer.is_unspecified() {
-            return;
-        }
-        let load = self.load_report(now);
-        let message = CarryMessage::Owned { flow, load };
-        self.send_to_balancer(balancer, &flow, &message, &[], now, outbox);
-    }
 }
--- a/crates/hyssopstaird/src/carry/configuration_watch.rs
+++ b/crates/hyssopstaird/src/carry/configuration_watch.rs
@@ -15,6 +15,7 @@
 use hyssopstair_flows::evacuation::EvacuatedZones;
 use hyssopstair_flows::store_position::HistoryVerdict;
 use hyssopstair_flows::store_position::StorePosition;
+use hyssopstair_flows::watch_schedule::MIN_RETRY_DELAY;
 use tokio::time::sleep;
 
 use crate::carry::command::CarryCommand;
@@ -22,7 +23,6 @@
 use crate::carry::command::ConfigurationSource;
 use crate::carry::store::StoreConnection;
 use crate::carry::store::StoreError;
-use crate::carry::store_tasks::RETRY_DELAY;
 use crate::carry::store_tasks::StoreTask;
 
 /// Delay between a change and the next watch, so that a burst of changes costs few
@@ -79,7 +79,7 @@
                 }
                 Err(StoreError::Rejected(StatusCode::NOT_FOUND)) => {
                     // The operators have not written a configuration yet.
-                    sleep(RETRY_DELAY).await;
+                    sleep(MIN_RETRY_DELAY).await;
                 }
                 Err(error) => {
                     if !is_store_lost {
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -3,7 +3,9 @@
 //! The loop waits for datagrams, commands, signals and timers, passes each to the
 //! decisions in [`CarryPart`], and then sends and logs what they put in the outbox.
 
-use std::net::Ipv4Addr;
+mod commands;
+mod stopping;
+
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::time::Duration;
@@ -15,17 +17,14 @@
 use hyssopstair_adapter::packet::encode_reset;
 use hyssopstair_flows::balancer::SaveRequest;
 use hyssopstair_flows::detour::read_datagram;
-use hyssopstair_flows::drain::DrainProgress;
 use hyssopstair_flows::event::DropReason;
 use hyssopstair_flows::event::FlowEvent;
-use hyssopstair_flows::heartbeat::HeartbeatVerdict;
 use hyssopstair_flows::outbox::Destination;
 use hyssopstair_flows::outbox::FlowOutbox;
 use hyssopstair_flows::packet::RawPacket;
 use hyssopstair_rules::carry_settings::CarryRole;
 use hyssopstair_rules::carry_settings::CarrySettings;
 use hyssopstair_rules::carry_settings::ServerSettings;
-use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 use serde_json::json;
 use tokio::signal::unix::Signal;
@@ -37,7 +36,6 @@
 use crate::carry::checks::check_server;
 use crate::carry::command::COMMAND_QUEUE_CAPACITY;
 use crate::carry::command::CarryCommand;
-use crate::carry::command::ConfigurationObservation;
 use crate::carry::command::ProcessStatus;
 use crate::carry::http::CallServer;
 use crate::carry::journal::EventJournal;
@@ -55,20 +53,9 @@
 /// read.
 const MAX_BATCH_DATAGRAMS: usize = 64;
 
-/// Minimum time for which a host keeps running after the signal to stop, so that
-/// balancers stop sending it new flows.
-const MIN_HOST_DRAIN_TIME: Duration = Duration::from_millis(150);
-
-/// Maximum time for which a host keeps running after the signal to stop, to wait for
-/// answers to requests in progress.
-const MAX_HOST_DRAIN_TIME: Duration = Duration::from_millis(1_500);
-
 /// Interval at which a stopping process checks whether it may end.
 const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Part of the grace period that is reserved for the exit itself.
-const EXIT_RESERVE: Duration = Duration::from_millis(1_000);
-
 /// Runs a process until it receives the signal to stop and has drained. `path` is the
 /// settings file, which a hangup signal reloads.
 ///
@@ -353,175 +340,6 @@
         }
     }
 
-    fn handle_command(&mut self, command: CarryCommand) {
-        let now = self.clock.now();
-        match command {
-            CarryCommand::SetRoutes(routes) => self.forwarder.set_routes(routes, &mut self.outbox),
-            CarryCommand::SetEvacuation(evacuated) => {
-                self.forwarder.set_evacuation(evacuated, &mut self.outbox);
-            }
-            CarryCommand::AddContacts(contacts) => self.forwarder.add_contacts(&contacts),
-            CarryCommand::Heartbeat {
-                heartbeat,
-                applied_sender,
-            } => {
-                let verdict = match &mut self.forwarder {
-                    CarryPart::Host(host) => {
-                        host.receive_heartbeat(&heartbeat, now, &mut self.outbox)
-                    }
-                    CarryPart::Balancer(_) => HeartbeatVerdict::Stale,
-                };
-                // Only a heartbeat that has been applied is confirmed.
-                if verdict == HeartbeatVerdict::Accepted {
-                    // A server that no longer waits for the response sends another heartbeat.
-                    let _ = applied_sender.send(());
-                }
-            }
-            CarryCommand::Deregistration { id, applied_sender } => {
-                if let CarryPart::Host(host) = &mut self.forwarder {
-                    host.receive_deregistration(&id, &mut self.outbox);
-                }
-                let _ = applied_sender.send(());
-            }
-            CarryCommand::CheckDone(result) => {
-                if let CarryPart::Host(host) = &mut self.forwarder {
-                    host.receive_check_result(result, now, &mut self.outbox);
-                }
-            }
-            CarryCommand::FormerFlows(list) => {
-                if let CarryPart::Host(host) = &mut self.forwarder {
-                    host.receive_former_flows(list, now, &mut self.outbox);
-                }
-            }
-            CarryCommand::ConfirmSaves(requests) => {
-                if let CarryPart::Balancer(balancer) = &self.forwarder {
-                    for request in &requests {
-                        balancer.confirm_save(request.host, request.number, &mut self.outbox);
-                    }
-                }
-            }
-            CarryCommand::ConfigurationObserved(observation) => {
-                self.record_configuration(&observation, now);
-            }
-            CarryCommand::DependencyChanged { name, error } => {
-                let message = if error.is_some() {
-                    "dependency failed"
-                } else {
-                    "dependency recovered"
-                };
-                let fields = json!({ "dependency": name, "error": error });
-                self.journal.write_process(message, fields, now);
-            }
-        }
-        self.flush_outbox(now);
-    }
-
-    /// Logs what a task has learned about the configuration in the store.
-    fn record_configuration(&mut self, observation: &ConfigurationObservation, now: MonotonicTime) {
-        let (message, position, mut fields) = match observation {
-            ConfigurationObservation::Received {
-                source,
-                version,
-                revision,
-                position,
-            } => (
-                "received the configuration",
-                position,
-                json!({ "source": format!("{source:?}"), "version": version, "revision": revision }),
-            ),
-            ConfigurationObservation::PositionLost { position, reason } => (
-                "reading the configuration again",
-                position,
-                json!({ "reason": reason }),
-            ),
-        };
-        fields["store_era"] = json!(position.era);
-        fields["store_revision"] = json!(position.revision);
-        self.metrics.store_revision.set(position.revision as i64);
-        self.journal.write_process(message, fields, now);
-    }
-
-    /// Starts to drain: the process is no longer ready, and the peers are notified.
-    /// Ignores further signals to stop.
-    fn begin_stop(&mut self) {
-        if self.stop_requested_at.is_some() {
-            return;
-        }
-        let now = self.clock.now();
-        self.stop_requested_at = Some(now);
-        self.refused_probes_before_stop = self.status.refused_probe_count();
-        self.journal
-            .write_process("stopping", json!({ "cause": "signal" }), now);
-        self.forwarder.stop(now, &mut self.outbox);
-        self.flush_outbox(now);
-    }
-
-    /// Reads the settings file again and applies its contacts and the service of the
-    /// server. Other settings change only with a restart.
-    fn reload_settings(&mut self) {
-        let now = self.clock.now();
-        let file_text =
-            std::fs::read_to_string(&self.settings_path).map_err(|error| error.to_string());
-        match file_text.and_then(|text| CarrySettings::parse(&text)) {
-            Ok(settings) => {
-                let contacts: Vec<Ipv4Addr> = settings
-                    .contacts
-                    .iter()
-                    .map(|contact| *contact.ip())
-                    .collect();
-                self.forwarder.add_contacts(&contacts);
-                if let (CarryPart::Host(host), Some(server)) =
-                    (&mut self.forwarder, &settings.server)
-                {
-                    host.set_service(&server.service, now, &mut self.outbox);
-                }
-                self.journal
-                    .write_process("reloaded the settings", json!({}), now);
-            }
-            Err(error) => {
-                self.journal.write_process(
-                    "failed to reload the settings; kept the current ones",
-                    json!({ "error": error }),
-                    now,
-                );
-            }
-        }
-        self.flush_outbox(now);
-    }
-
-    /// Returns whether the process was asked to stop and has drained, or has used up its
-    /// maximum drain time or its grace period less [`EXIT_RESERVE`].
-    fn may_exit(&self) -> bool {
-        let Some(stop_requested_at) = self.stop_requested_at else {
-            return false;
-        };
-        let now = self.clock.now();
-        let elapsed = now.since(stop_requested_at);
-        let grace_period = Duration::from_secs_f64(self.settings.grace_seconds);
-        let limit = grace_period.saturating_sub(EXIT_RESERVE);
-        if elapsed >= limit {
-            return true;
-        }
-        match &self.forwarder {
-            CarryPart::Balancer(balancer) => {
-                let refused_probe_count = self.status.refused_probe_count();
-                DrainProgress {
-                    elapsed,
-                    refused_probe_count: refused_probe_count - self.refused_probes_before_stop,
-                    quiet: balancer.quiet_time(now),
-                    has_waiting_flows: balancer.has_waiting_flows(),
-                    limit,
-                }
-                .may_end()
-            }
-            CarryPart::Host(host) => {
-                let is_idle =
-                    host.in_progress(now) == 0 || host.server_state() == ServerState::Down;
-                elapsed >= MAX_HOST_DRAIN_TIME || (is_idle && elapsed >= MIN_HOST_DRAIN_TIME)
-            }
-        }
-    }
-
     /// Sends the datagrams in the outbox, counts and logs its events, and clears it.
     fn flush_outbox(&mut self, now: MonotonicTime) {
         let caller_port = self.settings.packets.port();
--- a/crates/hyssopstaird/src/carry/store_tasks.rs
+++ b/crates/hyssopstaird/src/carry/store_tasks.rs
@@ -14,6 +14,7 @@
 use hyssopstair_flows::balancer::SaveRequest;
 use hyssopstair_flows::saved_flows::SavedFlowList;
 use hyssopstair_flows::saved_flows::combine_parts;
+use hyssopstair_flows::watch_schedule::MIN_RETRY_DELAY;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -26,9 +27,6 @@
 use crate::carry::store_eras::StoreEras;
 use crate::carry::store_lease::StoreLease;
 
-/// Delay after a failed call; outages of the store last seconds.
-pub(super) const RETRY_DELAY: Duration = Duration::from_millis(250);
-
 /// Time to live of a balancer's registration that is not renewed.
 const REGISTRATION_TTL: Duration = Duration::from_secs(30);
 
@@ -102,7 +100,7 @@
     pub async fn poll_missing_state(self) {
         let mut connection = self.connect();
         if self.list_balancers(&mut connection).await.is_err() {
-            sleep(RETRY_DELAY).await;
+            sleep(MIN_RETRY_DELAY).await;
         }
         loop {
             sleep(HOST_POLL_INTERVAL).await;
@@ -185,7 +183,7 @@
                 let request = store::list_prefix(&prefix, None);
                 match connection.call(request, Duration::ZERO).await {
                     Ok(response) => break store::decode_items(&response.body),
-                    Err(_) => sleep(RETRY_DELAY).await,
+                    Err(_) => sleep(MIN_RETRY_DELAY).await,
                 }
             }
         };
