--- a/crates/flows/src/detour.rs
+++ b/crates/flows/src/detour.rs
@@ -26,6 +26,10 @@
 /// Time for which a process answers a peer by the way that the peer's last message took.
 const RETURN_WAY_LIFETIME: Duration = Duration::from_secs(1);
 
+/// Maximum number of ways back that a process remembers, so that messages that name origins at
+/// random do not fill its memory. A zone of the largest fleet has fewer balancers.
+const MAX_RETURN_WAYS: usize = 2_048;
+
 /// Maximum number of messages that a process passes on in a second. It bounds what a
 /// partition of other zones costs the process, and a host of 0.15 of a core bears it.
 const MAX_RELAYED_PER_SECOND: u32 = 500;
@@ -130,7 +134,7 @@
 pub struct DetourTable {
     address: Ipv4Addr,
     zone: String,
-    /// Sorted by peer.
+    /// Sorted by peer, at most [`MAX_RETURN_WAYS`].
     return_ways: Vec<ReturnWay>,
     relayed_since: MonotonicTime,
     /// Messages passed on in the second that began at `relayed_since`.
@@ -151,24 +155,35 @@
 
     /// Records the way by which a message of a peer came.
     pub fn record_arrival(&mut self, peer: Ipv4Addr, way: PeerWay, now: MonotonicTime) {
-        let found = self.find_return_way(peer);
-        match (way, found) {
-            (PeerWay::Direct, Ok(index)) => {
-                self.return_ways.remove(index);
-            }
-            (PeerWay::Direct, Err(_)) => {}
-            (PeerWay::Via(relay), found) => {
-                let return_way = ReturnWay {
-                    peer,
-                    relay,
-                    received_at: now,
-                };
-                match found {
-                    Ok(index) => self.return_ways[index] = return_way,
-                    Err(index) => self.return_ways.insert(index, return_way),
+        match way {
+            PeerWay::Direct => {
+                if let Ok(index) = self.find_return_way(peer) {
+                    self.return_ways.remove(index);
                 }
             }
+            PeerWay::Via(relay) => self.record_return_way(ReturnWay {
+                peer,
+                relay,
+                received_at: now,
+            }),
+        }
+    }
+
+    fn record_return_way(&mut self, return_way: ReturnWay) {
+        if let Ok(index) = self.find_return_way(return_way.peer) {
+            self.return_ways[index] = return_way;
+            return;
+        }
+        let now = return_way.received_at;
+        self.return_ways
+            .retain(|known| now.since(known.received_at) < RETURN_WAY_LIFETIME);
+        if self.return_ways.len() >= MAX_RETURN_WAYS {
+            return;
         }
+        let index = self
+            .return_ways
+            .partition_point(|known| known.peer < return_way.peer);
+        self.return_ways.insert(index, return_way);
     }
 
     /// Returns the way to a peer for a message about the flow with the hash `flow_hash`:
