Bound what an outage must cost callers that open a flow for each request

The model took all orders as sent on flows of before. Callers that open a flow for each request send its opening packets at fixed times, and must lose a request only if a server had it when power was lost.

--- a/crates/flows/examples/outage_bound.rs
+++ b/crates/flows/examples/outage_bound.rs
@@ -7,7 +7,9 @@
 //! each when a host runs and the balancer that its caller is routed to next, gives each server
 //! slot work whenever there is any, and refuses nothing. What it loses follows from the
 //! protocol: packets to processes that do not run are lost, an order that was sent on a flow
-//! of before must not be repeated, and nobody waits beyond the time budget.
+//! of before must not be repeated, and nobody waits beyond the time budget. A caller that opens
+//! a flow for each request sends its opening packets at fixed times, and loses the request only
+//! if a server had it when power was lost.
 //!
 //! Prints for each kind of request the number that fails and the number that is late, and for
 //! how many of the late ones a server was busy with others.
@@ -50,12 +52,21 @@
     kinds: Vec<Kind>,
 }
 
-/// Requests of one kind, all on flows that are open when power is lost.
+/// Times after an attempt at which a caller sends the opening packets of its flow, and the time
+/// of the next attempt.
+const OPENING_MS: [f64; 3] = [0.0, 200.0, 600.0];
+const NEXT_ATTEMPT_MS: f64 = 1_400.0;
+
+/// Requests of one kind.
 #[derive(Debug, Deserialize)]
 struct Kind {
     name: String,
     per_second: f64,
     is_repeatable: bool,
+    /// Whether callers open a flow for each request. All others are on flows that are open when
+    /// power is lost.
+    #[serde(default)]
+    opens_flows: bool,
     work_ms: f64,
     target_ms: f64,
     budget_ms: f64,
@@ -129,11 +140,17 @@
         while asked_ms < outage.dark_ms + COUNTED_MS {
             let balancer_ms = balancer_starts[random.random_range(0..balancer_starts.len())];
             let served_from_ms = balancer_ms.max(routes_ms);
-            if asked_ms < first_host_ms && !kind.is_repeatable {
+            let sent_until_ms = if kind.opens_flows { 0.0 } else { first_host_ms };
+            if asked_ms < sent_until_ms && !kind.is_repeatable {
                 // Sent on a flow of before the outage.
                 tallies[index].failed += 1.0;
             } else {
-                let opened_ms = asked_ms.max(first_host_ms).max(served_from_ms);
+                let ready_ms = first_host_ms.max(served_from_ms);
+                let opened_ms = if kind.opens_flows {
+                    next_opening_packet(asked_ms, ready_ms)
+                } else {
+                    asked_ms.max(ready_ms)
+                };
                 arrivals.push(Arrival {
                     kind: index,
                     asked_ms,
@@ -148,6 +165,19 @@
     tallies
 }
 
+/// Returns the time of the first opening packet from `ready_ms` on, if the request is asked at
+/// `asked_ms`.
+fn next_opening_packet(asked_ms: f64, ready_ms: f64) -> f64 {
+    let mut attempt_ms = asked_ms;
+    loop {
+        let packets = OPENING_MS.map(|offset| attempt_ms + offset);
+        if let Some(packet_ms) = packets.into_iter().find(|sent_ms| *sent_ms >= ready_ms) {
+            return packet_ms;
+        }
+        attempt_ms += NEXT_ATTEMPT_MS;
+    }
+}
+
 /// Returns the times at which processes start, ascending.
 fn spread_starts(outage: &Outage, count: usize, random: &mut SmallRng) -> Vec<f64> {
     let mut starts: Vec<f64> = (0..count)
