Do not take packets that overtake each other for repeated ones

Change: data is repeated if the newest was forwarded 100 ms before or earlier; callers repeat after 200 ms.

The new test fails without the change.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -78,6 +78,10 @@
     pub max_flow_age: Duration,
 }
 
+/// Time after the newest data of a caller from which older data is a repetition. Callers repeat
+/// data after 200 ms; before that, packets may have overtaken each other.
+const MIN_REPEAT_DELAY: Duration = Duration::from_millis(100);
+
 /// Last known owner of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct FlowHint {
@@ -93,6 +97,8 @@
     is_carried: bool,
     /// Position in the caller's stream up to which data was forwarded, if known.
     forwarded_end: Option<u32>,
+    /// Time at which data up to that position was forwarded.
+    forwarded_at: MonotonicTime,
 }
 
 impl FlowHint {
@@ -111,8 +117,9 @@
             .is_none_or(|forwarded| end.wrapping_sub(forwarded) as i32 > 0);
         if is_new {
             self.forwarded_end = Some(end);
+            self.forwarded_at = now;
         }
-        !is_new
+        !is_new && now.since(self.forwarded_at) >= MIN_REPEAT_DELAY
     }
 
     /// Returns whether other balancers may still receive packets of the flow.
@@ -456,6 +463,7 @@
             is_finished: false,
             is_carried: false,
             forwarded_end: None,
+            forwarded_at: now,
         };
         self.hints.insert(flow, hint);
     }
--- a/crates/flows/tests/detour.rs
+++ b/crates/flows/tests/detour.rs
@@ -262,6 +262,34 @@
     .assert_eq(&[first, repeated, next].join("\n"));
 }
 
+// The packets of an upload overtake each other on the way to the balancer. They are no sign of a cut
+// link, and a second copy of each would double the bytes between zones.
+#[test]
+fn packets_that_overtake_each_other_take_the_direct_way_alone() {
+    let mut balancer = balancer_with_remote_flow(PeerVersion::CURRENT);
+    let mut receivers = Vec::new();
+    for (sequence, millis) in [
+        (100, 10),
+        (260, 11),
+        (180, 12),
+        (420, 13),
+        (340, 14),
+        (180, 212),
+    ] {
+        let mut packet = request_packet(4_001);
+        packet.sequence = sequence;
+        receivers.push(receivers_of(&mut balancer, &packet, millis));
+    }
+    expect![[r#"
+        Peer(10.0.1.1)
+        Peer(10.0.1.1)
+        Peer(10.0.1.1)
+        Peer(10.0.1.1)
+        Peer(10.0.1.1)
+        Peer(10.0.1.1), Peer(10.0.1.2)"#]]
+    .assert_eq(&receivers.join("\n"));
+}
+
 // A link may lose packets in one direction only. The hellos of the host arrive, and say that
 // it gets none.
 #[test]
