Hash a flow only for a way around, and share what was written twice

Each forwarded packet was hashed although only a detour needs the hash, and a repeated packet looked up its way twice. The way is found once and returned; peers are looked up among balancers only if they are no hosts. One function compares positions in a caller's stream for balancers and hosts, one gives the target latency of a route, and one enqueues messages.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -44,7 +44,6 @@
 use crate::outbox::FlowOutbox;
 use crate::packet::PacketHeader;
 use crate::packet::RawPacket;
-use crate::ranking::hash_flow;
 use crate::route_transfer::RouteReplica;
 use crate::routes::RouteTable;
 use crate::store_era::KnownEra;
@@ -110,16 +109,12 @@
         if header.data_length == 0 {
             return false;
         }
-        let end = header.sequence.wrapping_add(u32::from(header.data_length));
-        // The signed difference orders positions across the wraparound.
-        let is_new = self
-            .forwarded_end
-            .is_none_or(|forwarded| end.wrapping_sub(forwarded) as i32 > 0);
-        if is_new {
+        if let Some(end) = header.end_beyond(self.forwarded_end) {
             self.forwarded_end = Some(end);
             self.forwarded_at = now;
+            return false;
         }
-        !is_new && now.since(self.forwarded_at) >= MIN_REPEAT_DELAY
+        now.since(self.forwarded_at) >= MIN_REPEAT_DELAY
     }
 
     /// Returns whether other balancers may still receive packets of the flow.
@@ -372,14 +367,18 @@
         };
         let is_repeated = hint.record_forwarded(&packet.header, now);
         let owner = hint.owner;
-        self.forward_to_owner(&flow, owner, packet.bytes, now, outbox);
-        if is_repeated {
-            self.forward_around(&flow, owner, packet.bytes, now, outbox);
+        let way = self.forward_to_owner(&flow, owner, packet.bytes, now, outbox);
+        if is_repeated && way == PeerWay::Direct {
+            // The direct way may have failed a moment ago, so that no hello is overdue yet.
+            let way = self.detours.way_around(owner, &flow, &self.members, now);
+            if way != PeerWay::Direct {
+                self.send_to_owner(way, owner, packet.bytes, outbox);
+            }
         }
     }
 
     /// Forwards a packet to the host that holds its flow, on the way by which the host is
-    /// reached.
+    /// reached, and returns that way.
     fn forward_to_owner(
         &self,
         flow: &FlowKey,
@@ -387,32 +386,10 @@
         bytes: &[u8],
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
-    ) {
-        let way = self
-            .detours
-            .way_to(owner, hash_flow(flow), &self.members, now);
+    ) -> PeerWay {
+        let way = self.detours.way_to(owner, flow, &self.members, now);
         self.send_to_owner(way, owner, bytes, outbox);
-    }
-
-    /// Forwards a packet that the caller has repeated on another way as well. The direct way
-    /// may have failed a moment ago, so that no hello is overdue yet.
-    fn forward_around(
-        &self,
-        flow: &FlowKey,
-        owner: Ipv4Addr,
-        bytes: &[u8],
-        now: MonotonicTime,
-        outbox: &mut FlowOutbox,
-    ) {
-        let flow_hash = hash_flow(flow);
-        let is_direct =
-            self.detours.way_to(owner, flow_hash, &self.members, now) == PeerWay::Direct;
-        let way = self
-            .detours
-            .way_around(owner, flow_hash, &self.members, now);
-        if is_direct && way != PeerWay::Direct {
-            self.send_to_owner(way, owner, bytes, outbox);
-        }
+        way
     }
 
     fn send_to_owner(&self, way: PeerWay, owner: Ipv4Addr, bytes: &[u8], outbox: &mut FlowOutbox) {
--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -287,9 +287,7 @@
         let opening = self.openings.swap_remove(index);
         self.offer_time.record(now.since(opening.sent_at));
         let offered_hosts = opening.offered_hosts.clone();
-        let target_latency = self
-            .match_route(&flow)
-            .map_or(Duration::ZERO, |route_match| route_match.target_latency);
+        let target_latency = self.routes.table().target_latency(flow.target);
         for host in &offered_hosts {
             self.members.record_full(*host, target_latency, now);
         }
@@ -444,7 +442,7 @@
         Some(RouteMatch {
             service: route.service_of(flow)?.to_owned(),
             timeout: Duration::from_millis(u64::from(route.timeout_millis)),
-            target_latency: Duration::from_millis(u64::from(route.target_latency_millis)),
+            target_latency: route.target_latency(),
             priority: route.priority,
         })
     }
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -384,10 +384,10 @@
         for (host, questions) in std::mem::take(&mut self.queued_questions) {
             for batch in questions.chunks(MAX_QUESTIONS) {
                 self.questions_allowed_at = self.questions_allowed_at + QUESTION_DATAGRAM_INTERVAL;
-                let flow_hash = batch.first().map_or(0, |first| hash_flow(&first.flow));
+                let flow = batch[0].flow;
                 let questions = batch.to_vec();
                 let message = CarryMessage::Locate { questions };
-                let way = self.detours.way_to(host, flow_hash, &self.members, now);
+                let way = self.detours.way_to(host, &flow, &self.members, now);
                 self.detours.send(way, host, &message, &[], outbox);
             }
         }
--- a/crates/flows/src/detour.rs
+++ b/crates/flows/src/detour.rs
@@ -13,6 +13,7 @@
 
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::DatagramVerdict;
+use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::carried::ForwardPurpose;
 use hyssopstair_wire::carried::PeerVersion;
 use hyssopstair_wire::time::MonotonicTime;
@@ -22,6 +23,7 @@
 use crate::members::MemberTable;
 use crate::outbox::FlowOutbox;
 use crate::ranking::first_ranked;
+use crate::ranking::hash_flow;
 
 /// Time for which a process answers a peer by the way that the peer's last message took.
 const RETURN_WAY_LIFETIME: Duration = Duration::from_secs(1);
@@ -186,13 +188,13 @@
         self.return_ways.insert(index, return_way);
     }
 
-    /// Returns the way to a peer for a message about the flow with the hash `flow_hash`:
+    /// Returns the way to a peer for a message about a flow:
     /// the way by which the peer has written last, or one around the direct way if that loses
     /// messages.
     pub fn way_to(
         &self,
         peer: Ipv4Addr,
-        flow_hash: u64,
+        flow: &FlowKey,
         members: &MemberTable,
         now: MonotonicTime,
     ) -> PeerWay {
@@ -203,7 +205,7 @@
             }
         }
         if members.is_cut_off(peer, now) {
-            self.way_around(peer, flow_hash, members, now)
+            self.way_around(peer, flow, members, now)
         } else {
             PeerWay::Direct
         }
@@ -214,7 +216,7 @@
     pub fn way_around(
         &self,
         peer: Ipv4Addr,
-        flow_hash: u64,
+        flow: &FlowKey,
         members: &MemberTable,
         now: MonotonicTime,
     ) -> PeerWay {
@@ -231,6 +233,7 @@
                     && record.version >= PeerVersion::DETOURS
             }) && !members.is_cut_off(address, now)
         };
+        let flow_hash = hash_flow(flow);
         // Balancers have small links, which callers share.
         let hosts = members.hosts().iter().map(|record| record.peer.address);
         let balancers = members.balancers().iter().map(|record| record.peer.address);
--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -6,7 +6,6 @@
 //! free slot. After the last candidate, the least busy one accepts the flow.
 
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use hyssopstair_wire::carried::CarryHeader;
 use hyssopstair_wire::carried::CarryMessage;
@@ -163,9 +162,8 @@
             return OpeningVerdict::Reject;
         }
         let request_count = self.load.in_progress(now);
-        let limit = self
-            .load
-            .limit_within(self.slots(), self.target_latency(flow));
+        let target_latency = self.routes.table().target_latency(flow.target);
+        let limit = self.load.limit_within(self.slots(), target_latency);
         if request_count < self.slots().min(limit) {
             OpeningVerdict::Accept
         } else if request_count < limit {
@@ -175,13 +173,6 @@
         }
     }
 
-    /// Returns the time within which the caller of a flow expects an answer; zero if not known.
-    fn target_latency(&self, flow: &FlowKey) -> Duration {
-        let route = self.routes.table().route(flow.target);
-        let millis = route.map_or(0, |route| route.target_latency_millis);
-        Duration::from_millis(u64::from(millis))
-    }
-
     /// Records a new flow and delivers its opening packet to the server.
     fn accept_flow(
         &mut self,
--- a/crates/flows/src/host/ownership.rs
+++ b/crates/flows/src/host/ownership.rs
@@ -16,7 +16,6 @@
 use crate::host::records::FlowRecord;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
-use crate::ranking::hash_flow;
 
 /// Time after the start of a host within which a running server makes itself known: two
 /// heartbeats, which are sent every 1.2 s, and a margin.
@@ -132,9 +131,7 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        let way = self
-            .detours
-            .way_to(balancer, hash_flow(flow), &self.members, now);
+        let way = self.detours.way_to(balancer, flow, &self.members, now);
         self.detours.send(way, balancer, message, payload, outbox);
     }
 
--- a/crates/flows/src/host/peers.rs
+++ b/crates/flows/src/host/peers.rs
@@ -213,8 +213,8 @@
         }
     }
 
-    /// Returns the fields that follow a hello to `peer`. The era of the store is left to balancers, which
-    /// call it.
+    /// Returns the fields that follow a hello to `peer`. The era of the store is left to
+    /// balancers, which call it.
     fn build_hello_extension(&self, peer: Ipv4Addr, now: MonotonicTime) -> Vec<u8> {
         let extension = HelloExtension {
             store_era: None,
--- a/crates/flows/src/host/records.rs
+++ b/crates/flows/src/host/records.rs
@@ -201,15 +201,11 @@
     /// Records the data of a caller's packet as delivered to the server, and returns
     /// whether any of it was not delivered before.
     pub(super) fn record_delivered_data(&mut self, header: &PacketHeader) -> bool {
-        let end = header.sequence.wrapping_add(u32::from(header.data_length));
-        // The signed difference orders positions across the wraparound.
-        let is_new = self
-            .delivered_end
-            .is_none_or(|delivered| end.wrapping_sub(delivered) as i32 > 0);
-        if is_new {
-            self.delivered_end = Some(end);
-        }
-        is_new && header.data_length > 0
+        let Some(end) = header.end_beyond(self.delivered_end) else {
+            return false;
+        };
+        self.delivered_end = Some(end);
+        header.data_length > 0
     }
 
     /// Records that the caller has finished or reset the flow.
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -305,25 +305,28 @@
 
     /// Returns the properties of the peer at `address`, if it is known.
     pub fn peer(&self, address: Ipv4Addr) -> Option<&PeerRecord> {
-        match (self.find_host(address), self.find_balancer(address)) {
-            (Ok(index), _) => Some(&self.hosts[index].peer),
-            (_, Ok(index)) => Some(&self.balancers[index].peer),
-            (Err(_), Err(_)) => None,
+        match self.host(address) {
+            Some(record) => Some(&record.peer),
+            None => self.balancer(address).map(|record| &record.peer),
         }
     }
 
+    fn balancer(&self, address: Ipv4Addr) -> Option<&BalancerRecord> {
+        let index = self.find_balancer(address).ok()?;
+        Some(&self.balancers[index])
+    }
+
     /// Returns whether messages to or from a known peer get lost: it has sent nothing for
     /// [`OVERDUE_HELLOS`] of the intervals at which it sends hellos, or has said that it gets
     /// nothing.
     pub fn is_cut_off(&self, address: Ipv4Addr, now: MonotonicTime) -> bool {
-        let (peer, receiver_count) = match (self.find_host(address), self.find_balancer(address)) {
-            (Ok(index), _) => (&self.hosts[index].peer, self.balancers.len() + 1),
-            (_, Ok(index)) => {
-                let record = &self.balancers[index];
-                let host_count = usize::from(record.reachable_host_count).max(self.hosts.len());
-                (&record.peer, host_count.max(self.balancers.len()))
-            }
-            (Err(_), Err(_)) => return false,
+        let (peer, receiver_count) = if let Some(record) = self.host(address) {
+            (&record.peer, self.balancers.len() + 1)
+        } else if let Some(record) = self.balancer(address) {
+            let host_count = usize::from(record.reachable_host_count).max(self.hosts.len());
+            (&record.peer, host_count.max(self.balancers.len()))
+        } else {
+            return false;
         };
         let interval = MemberTimeouts::for_peer_count(receiver_count).hello_interval;
         peer.is_deaf || now.since(peer.last_seen_at) >= interval * OVERDUE_HELLOS
--- a/crates/flows/src/outbox.rs
+++ b/crates/flows/src/outbox.rs
@@ -52,11 +52,7 @@
 
     /// Adds a message for a peer, followed by `payload`.
     pub fn enqueue_message(&mut self, peer: Ipv4Addr, message: &CarryMessage, payload: &[u8]) {
-        let start = self.buffer.len();
-        message.encode(&mut self.buffer);
-        self.buffer.extend_from_slice(payload);
-        self.datagrams
-            .push((Destination::Peer(peer), start..self.buffer.len()));
+        self.enqueue_messages(peer, &[message], payload);
     }
 
     /// Adds a message for a peer in the envelope of another message, which asks `relay` to pass
@@ -68,12 +64,17 @@
         message: &CarryMessage,
         payload: &[u8],
     ) {
+        self.enqueue_messages(relay, &[envelope, message], payload);
+    }
+
+    fn enqueue_messages(&mut self, peer: Ipv4Addr, messages: &[&CarryMessage], payload: &[u8]) {
         let start = self.buffer.len();
-        envelope.encode(&mut self.buffer);
-        message.encode(&mut self.buffer);
+        for message in messages {
+            message.encode(&mut self.buffer);
+        }
         self.buffer.extend_from_slice(payload);
         self.datagrams
-            .push((Destination::Peer(relay), start..self.buffer.len()));
+            .push((Destination::Peer(peer), start..self.buffer.len()));
     }
 
     /// Adds a reset of a flow at a position in the server's stream.
--- a/crates/flows/src/packet.rs
+++ b/crates/flows/src/packet.rs
@@ -56,6 +56,15 @@
         self.has_ack.then_some(self.acknowledged)
     }
 
+    /// Returns the position in the sender's stream at which the packet's data ends, if that is
+    /// beyond `known_end` or no end is known.
+    pub fn end_beyond(&self, known_end: Option<u32>) -> Option<u32> {
+        let end = self.sequence.wrapping_add(u32::from(self.data_length));
+        // The signed difference orders positions across the wraparound.
+        let is_beyond = known_end.is_none_or(|known| end.wrapping_sub(known) as i32 > 0);
+        is_beyond.then_some(end)
+    }
+
     /// Returns whether the packet is a caller's request to open a flow.
     pub fn opens_flow(&self) -> bool {
         self.is_open && !self.has_ack
--- a/crates/flows/src/routes.rs
+++ b/crates/flows/src/routes.rs
@@ -153,6 +153,12 @@
         Duration::from_millis(u64::from(self.idle_timeout_millis))
     }
 
+    /// Returns the time within which callers of `target` expect an answer; zero if not known.
+    pub fn target_latency(&self, target: SocketAddrV4) -> Duration {
+        let route = self.route(target);
+        route.map_or(Duration::ZERO, RouteRule::target_latency)
+    }
+
     /// Returns the route for flows to `target`, if there is one.
     pub fn route(&self, target: SocketAddrV4) -> Option<&RouteRule> {
         let index = self
@@ -186,6 +192,11 @@
 }
 
 impl RouteRule {
+    /// Returns the time within which callers expect an answer; zero if not known.
+    pub fn target_latency(&self) -> Duration {
+        Duration::from_millis(u64::from(self.target_latency_millis))
+    }
+
     /// Returns the service for a flow, the same in every process. Returns `None` if the
     /// route has no services, or several whose weights are all 0.
     pub fn service_of(&self, flow: &FlowKey) -> Option<&str> {
