--- a/review/stand-ins/src/caller.rs
+++ b/review/stand-ins/src/caller.rs
@@ -84,7 +84,12 @@
         }
         let score = |octet: u8| {
             let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-            for byte in caller.octets().into_iter().chain(port.to_be_bytes()).chain([octet]) {
+            for byte in caller
+                .octets()
+                .into_iter()
+                .chain(port.to_be_bytes())
+                .chain([octet])
+            {
                 hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
             }
             hash ^ hash >> 29
@@ -103,9 +108,17 @@
 }
 
 enum Phase {
-    Opening { copies: usize },
-    Idle { next_request: Instant },
-    Waiting { resend: Instant, interval: u64, request: Vec<u8> },
+    Opening {
+        copies: usize,
+    },
+    Idle {
+        next_request: Instant,
+    },
+    Waiting {
+        resend: Instant,
+        interval: u64,
+        request: Vec<u8>,
+    },
     Ended,
 }
 
@@ -153,13 +166,14 @@
             if let Ok((length, _)) = socket.recv_from(&mut buffer) {
                 match Packet::decode(&buffer[..length]) {
                     Some(packet) => {
-                        if let Some(flow) =
-                            flows.iter_mut().find(|flow| flow.port == packet.dport)
+                        if let Some(flow) = flows.iter_mut().find(|flow| flow.port == packet.dport)
                         {
                             self.receive(socket, flow, &packet);
                         }
                     }
-                    None => self.net.broke("MIXED: a caller got bytes that are no packet"),
+                    None => self
+                        .net
+                        .broke("MIXED: a caller got bytes that are no packet"),
                 }
             }
             for flow in &mut flows {
@@ -172,7 +186,12 @@
     }
 
     fn ends(&self, flow: &CallerFlow) -> Ends {
-        (self.net.ip(self.octet), flow.port, self.target.0, self.target.1)
+        (
+            self.net.ip(self.octet),
+            flow.port,
+            self.target.0,
+            self.target.1,
+        )
     }
 
     fn open(&self, socket: &UdpSocket, port: u16) -> CallerFlow {
@@ -214,7 +233,9 @@
             return;
         }
         if !packet.is_genuine() {
-            self.net.broke(&format!("MIXED: caller of {ends:?} got a packet that nobody wrote so"));
+            self.net.broke(&format!(
+                "MIXED: caller of {ends:?} got a packet that nobody wrote so"
+            ));
             return;
         }
         if packet.has(RST) {
@@ -242,15 +263,20 @@
                     self.counts.answered.fetch_add(1, Ordering::Relaxed);
                     let name = String::from_utf8_lossy(request);
                     let age = flow.since.elapsed().as_millis();
-                    self.net.log(&format!("{name} answered, sent {age} ms before"));
+                    self.net
+                        .log(&format!("{name} answered, sent {age} ms before"));
                 } else {
-                    self.net.broke(&format!("MIXED: {ends:?} got the answer of another request"));
+                    self.net.broke(&format!(
+                        "MIXED: {ends:?} got the answer of another request"
+                    ));
                 }
                 flow.sent = flow.sent.wrapping_add(request.len() as u32);
                 let next_request = Instant::now() + self.pause;
                 flow.phase = Phase::Idle { next_request };
             } else {
-                self.net.broke(&format!("MIXED: {ends:?} got an answer with no request waiting"));
+                self.net.broke(&format!(
+                    "MIXED: {ends:?} got an answer with no request waiting"
+                ));
             }
         }
         self.send(socket, flow, ACK, flow.sent, Vec::new());
@@ -266,7 +292,8 @@
         }
         let distance = packet.seq.wrapping_sub(flow.received) as i32;
         if distance.unsigned_abs() > RESET_WINDOW {
-            self.net.log(&format!("ignored a reset of {ends:?} at another position"));
+            self.net
+                .log(&format!("ignored a reset of {ends:?} at another position"));
             return;
         }
         match self.open_flows.holder(ends) {
@@ -275,7 +302,9 @@
                  since its start at {born} lives and holds it",
                 self.net.ip(octet)
             )),
-            None => self.net.log(&format!("reset of {ends:?}, which no living server holds")),
+            None => self
+                .net
+                .log(&format!("reset of {ends:?}, which no living server holds")),
         }
         flow.phase = Phase::Ended;
     }
@@ -322,7 +351,11 @@
                     request,
                 };
             }
-            Phase::Waiting { resend, interval, request } => {
+            Phase::Waiting {
+                resend,
+                interval,
+                request,
+            } => {
                 if age >= BUDGET {
                     let ends = self.ends(flow);
                     self.net.log(&format!("no answer on {ends:?}"));
--- a/review/stand-ins/src/crowd.rs
+++ b/review/stand-ins/src/crowd.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::net::SocketAddrV4;
 use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -75,7 +75,9 @@
             if let Ok((length, _)) = socket.recv_from(&mut buffer) {
                 match Packet::decode(&buffer[..length]) {
                     Some(packet) => incoming.push_back((Instant::now() + PATH, packet)),
-                    None => self.net.broke("MIXED: a caller got bytes that are no packet"),
+                    None => self
+                        .net
+                        .broke("MIXED: a caller got bytes that are no packet"),
                 }
             }
             let now = Instant::now();
@@ -154,7 +156,9 @@
         let port = packet.dport;
         let ends = self.ends(port);
         if !packet.is_system_reset() && !packet.is_genuine() {
-            self.net.broke(&format!("MIXED: {ends:?} got a packet that nobody wrote so"));
+            self.net.broke(&format!(
+                "MIXED: {ends:?} got a packet that nobody wrote so"
+            ));
             return;
         }
         let Some(flow) = flows.get_mut(&port) else {
@@ -183,7 +187,9 @@
                             now.duration_since(flow.since).as_millis(),
                             self.net.ip(octet)
                         )),
-                        None => self.net.log(&format!("reset of {ends:?}, which no server holds")),
+                        None => self
+                            .net
+                            .log(&format!("reset of {ends:?}, which no server holds")),
                     }
                     flows.remove(&port);
                 }
@@ -212,9 +218,14 @@
         if packet.data == self.request(port) {
             self.counts.answered.fetch_add(1, Ordering::Relaxed);
             let age = now.duration_since(flow.since).as_millis();
-            self.net.log(&format!("r-{}-{port} answered, sent {age} ms before", self.octet));
+            self.net.log(&format!(
+                "r-{}-{port} answered, sent {age} ms before",
+                self.octet
+            ));
         } else {
-            self.net.broke(&format!("MIXED: {ends:?} got the answer of another request"));
+            self.net.broke(&format!(
+                "MIXED: {ends:?} got the answer of another request"
+            ));
         }
         let sent = flow.start.wrapping_add(1 + packet.data.len() as u32);
         let received = packet.seq.wrapping_add(packet.data.len() as u32);
@@ -255,7 +266,15 @@
                     flow.resend_interval *= 2;
                     flow.resend = now + flow.resend_interval;
                     let first = flow.start.wrapping_add(1);
-                    self.send(port, flow, ACK, first, received, self.request(port), outgoing);
+                    self.send(
+                        port,
+                        flow,
+                        ACK,
+                        first,
+                        received,
+                        self.request(port),
+                        outgoing,
+                    );
                 }
                 true
             }
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -49,8 +49,8 @@
     net: Arc<Net>,
     _store: Store,
     balancers: Vec<Process>,
-    hosts: Vec<Process>,
-    servers: Vec<Arc<Server>>,
+    _hosts: Vec<Process>,
+    _servers: Vec<Arc<Server>>,
     router: Arc<Router>,
     open_flows: Arc<OpenFlows>,
     openings: Arc<Openings>,
@@ -81,7 +81,14 @@
             let settings = net.settings("host", octet, ZONES[index % 2], Some(service));
             hosts.push(net.start(&format!("host-{octet}"), &settings)?);
             servers.push(Server::start(
-                &net, &open_flows, &openings, octet, service, target, work, Duration::ZERO,
+                &net,
+                &open_flows,
+                &openings,
+                octet,
+                service,
+                target,
+                work,
+                Duration::ZERO,
             )?);
         }
         Ok(Self {
@@ -89,8 +96,8 @@
             net,
             _store: store,
             balancers,
-            hosts,
-            servers,
+            _hosts: hosts,
+            _servers: servers,
             open_flows,
             openings,
             counts: Arc::new(Counts::default()),
@@ -175,7 +182,10 @@
         let body = beat_body("billing", net.at(11, APP), "ready", 1, unix_millis(), 0);
         let path = "/Instances.Heartbeat/i-other";
         let status = call(net.at(11, CONTROL), "POST", path, &body).map(|answer| answer.0);
-        net.log(&format!("another writer sends to {}: POST {path} {body}: {status:?}", net.at(11, CONTROL)));
+        net.log(&format!(
+            "another writer sends to {}: POST {path} {body}: {status:?}",
+            net.at(11, CONTROL)
+        ));
     }
     sleep(Duration::from_secs(10));
     Ok(())
@@ -253,8 +263,9 @@
         "added-servers" => (&[1, 2, 3], 4, 5),
         _ => (&[1, 2], 3, 15),
     };
-    let mut places: Vec<(u8, &str, (Ipv4Addr, u16))> =
-        (0..hosts).map(|number| (11 + number, "orders", ORDERS)).collect();
+    let mut places: Vec<(u8, &str, (Ipv4Addr, u16))> = (0..hosts)
+        .map(|number| (11 + number, "orders", ORDERS))
+        .collect();
     places.push((90, "sheets", SHEETS));
     let mut deployment = Deployment::start(net, balancers, &places, Duration::from_millis(work))?;
     if !deployment.wait_ready() {
--- a/review/stand-ins/src/net.rs
+++ b/review/stand-ins/src/net.rs
@@ -26,16 +26,6 @@
 pub const METRICS: u16 = 9464;
 pub const STORE_OCTET: u8 = 250;
 
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub const SIGHUP: i32 = 1;
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-
 pub struct Net {
     prefix: [u8; 2],
     _reserved: TcpListener,
@@ -143,38 +133,15 @@
             .stdout(log)
             .spawn()?;
         self.log(&format!("process {name} started, pid {}", child.id()));
-        Ok(Process {
-            name: name.to_owned(),
-            child,
-        })
+        Ok(Process { child })
     }
 }
 
+/// A process, which is killed when this is dropped.
 pub struct Process {
-    pub name: String,
     child: Child,
 }
 
-impl Process {
-    pub fn signal(&self, net: &Net, signal: i32) {
-        net.log(&format!("process {} gets signal {signal}", self.name));
-        // SAFETY: the process is a child that has not been waited for.
-        unsafe { kill(self.child.id() as i32, signal) };
-    }
-
-    /// Waits for the end of the process, at most for `limit`.
-    pub fn wait(&mut self, limit: Duration) -> bool {
-        let started = Instant::now();
-        while started.elapsed() < limit {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
-                return true;
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        false
-    }
-}
-
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/review/stand-ins/src/server.rs
+++ b/review/stand-ins/src/server.rs
@@ -9,7 +9,6 @@
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -58,7 +57,11 @@
     }
 
     fn record_taken(&self, ends: &Ends, octet: u8, now: Instant) {
-        let sent = self.sent.lock().ok().and_then(|sent| sent.get(ends).copied());
+        let sent = self
+            .sent
+            .lock()
+            .ok()
+            .and_then(|sent| sent.get(ends).copied());
         if let (Some(sent), Ok(mut taken)) = (sent, self.taken.lock()) {
             taken.push((octet, sent, now));
         }
@@ -109,17 +112,14 @@
 
     fn close(&self, ends: &Ends, octet: u8) {
         if let Ok(mut flows) = self.0.lock() {
-            if flows.get(ends).is_some_and(|(holder, _, _)| *holder == octet) {
+            if flows
+                .get(ends)
+                .is_some_and(|(holder, _, _)| *holder == octet)
+            {
                 flows.remove(ends);
             }
         }
     }
-
-    fn close_all(&self, octet: u8) {
-        if let Ok(mut flows) = self.0.lock() {
-            flows.retain(|_, (holder, _, _)| *holder != octet);
-        }
-    }
 }
 
 struct Flow {
@@ -153,8 +153,6 @@
     pub id: String,
     pub born: u64,
     sequence: AtomicU64,
-    is_draining: AtomicBool,
-    has_ended: AtomicBool,
 }
 
 impl Server {
@@ -185,17 +183,19 @@
             id: format!("i-{octet}-{:08x}", random()),
             born: unix_millis(),
             sequence: AtomicU64::new(0),
-            is_draining: AtomicBool::new(false),
-            has_ended: AtomicBool::new(false),
         });
-        net.log(&format!("server {} of {service} starts at {}", server.id, net.ip(octet)));
+        net.log(&format!(
+            "server {} of {service} starts at {}",
+            server.id,
+            net.ip(octet)
+        ));
         let health = server.clone();
         thread::spawn(move || health.answer_checks(&listener));
         let packets = server.clone();
         thread::spawn(move || packets.serve(&socket));
         let beats = server.clone();
         thread::spawn(move || {
-            while !beats.has_ended.load(Ordering::Relaxed) {
+            loop {
                 beats.beat();
                 thread::sleep(HEARTBEAT);
             }
@@ -203,51 +203,32 @@
         Ok(server)
     }
 
-    /// Ends the server without a word.
-    pub fn crash(&self) {
-        self.has_ended.store(true, Ordering::Relaxed);
-        self.open_flows.close_all(self.octet);
-        self.net.log(&format!("server {} crashes", self.id));
-    }
-
-    pub fn drain(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
-    }
-
     /// Reports the state, and returns the status of the answer.
     fn beat(&self) -> Option<u16> {
-        let state = match self.is_draining.load(Ordering::Relaxed) {
-            true => "draining",
-            false => "ready",
-        };
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let (service, at) = (&self.service, self.net.at(self.octet, APP));
         let cold = self.cold.saturating_sub(self.started.elapsed()).as_millis() as u64;
-        let body = beat_body(service, at, state, sequence, self.born, cold);
+        let body = beat_body(service, at, "ready", sequence, self.born, cold);
         let path = format!("/Instances.Heartbeat/{}", self.id);
         let status = call(self.net.at(self.octet, CONTROL), "POST", &path, &body).map(|a| a.0);
         if status != Some(200) {
-            self.net.log(&format!("heartbeat {sequence} of {}: {status:?}", self.id));
+            self.net
+                .log(&format!("heartbeat {sequence} of {}: {status:?}", self.id));
         }
         status
     }
 
     fn answer_checks(&self, listener: &TcpListener) {
-        while !self.has_ended.load(Ordering::Relaxed) {
+        loop {
             let Ok((mut stream, _)) = listener.accept() else {
                 thread::sleep(Duration::from_millis(2));
                 continue;
             };
             let _ = stream.set_nonblocking(false);
             let _ = stream.set_read_timeout(Some(Duration::from_millis(50)));
-            let status = match self.is_draining.load(Ordering::Relaxed) {
-                true => "503 leaving",
-                false => "200 OK",
-            };
             let mut buffer = [0; 1_024];
             if stream.read(&mut buffer).unwrap_or(0) > 0 {
-                let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
-                let _ = stream.write_all(answer.as_bytes());
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
             }
         }
     }
@@ -256,7 +237,7 @@
         let mut flows: HashMap<Ends, Flow> = HashMap::new();
         let mut buffer = [0; 2_048];
         let outbound = self.net.at(self.octet, OUTBOUND);
-        while !self.has_ended.load(Ordering::Relaxed) {
+        loop {
             if let Ok((length, _)) = socket.recv_from(&mut buffer) {
                 self.receive(socket, outbound, &mut flows, &mut buffer[..length]);
             }
@@ -285,12 +266,16 @@
         bytes: &mut [u8],
     ) {
         let Some(packet) = Packet::decode(bytes) else {
-            self.net.broke("UNASKED: a server got bytes that are no packet");
+            self.net
+                .broke("UNASKED: a server got bytes that are no packet");
             return;
         };
         let ends = ends_of(&packet);
         if !packet.is_genuine() {
-            self.net.broke(&format!("UNASKED: {} got a packet that nobody wrote so", self.id));
+            self.net.broke(&format!(
+                "UNASKED: {} got a packet that nobody wrote so",
+                self.id
+            ));
             return;
         }
         if packet.opens() {
@@ -301,7 +286,8 @@
                 ));
             }
             let flow = flows.entry(ends).or_insert_with(|| {
-                self.openings.record_taken(&ends, self.octet, Instant::now());
+                self.openings
+                    .record_taken(&ends, self.octet, Instant::now());
                 let start = random();
                 Flow {
                     start,
@@ -345,7 +331,11 @@
             return;
         }
         flow.acknowledged = packet.ack;
-        if flow.unacknowledged.as_ref().is_some_and(|_| packet.ack == flow.sent) {
+        if flow
+            .unacknowledged
+            .as_ref()
+            .is_some_and(|_| packet.ack == flow.sent)
+        {
             flow.unacknowledged = None;
         }
         if packet.data.is_empty() {
@@ -369,7 +359,10 @@
         flow: &mut Flow,
         now: Instant,
     ) {
-        if let Some((_, data)) = flow.work.take_if(|(done, _)| done.is_some_and(|done| done <= now)) {
+        if let Some((_, data)) = flow
+            .work
+            .take_if(|(done, _)| done.is_some_and(|done| done <= now))
+        {
             let answer = reply(ends, ACK, flow.sent, flow.received, data);
             flow.sent = flow.sent.wrapping_add(answer.data.len() as u32);
             let _ = socket.send_to(&answer.encode(), outbound);
@@ -386,7 +379,14 @@
 }
 
 /// The body of a heartbeat.
-pub fn beat_body(service: &str, at: SocketAddrV4, state: &str, sequence: u64, born: u64, cold: u64) -> String {
+pub fn beat_body(
+    service: &str,
+    at: SocketAddrV4,
+    state: &str,
+    sequence: u64,
+    born: u64,
+    cold: u64,
+) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{at}\",\"zone\":\"a\",\"version\":\"v1\",\
          \"capacity\":3,\"state\":\"{state}\",\"coldRemainingMs\":{cold},\"sequence\":{sequence},\
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -177,13 +177,19 @@
                 let revision = state.revision;
                 (
                     200,
-                    format!("{{\"items\":[{items}],\"hasMore\":false,\"storeRevision\":{revision}}}"),
+                    format!(
+                        "{{\"items\":[{items}],\"hasMore\":false,\"storeRevision\":{revision}}}"
+                    ),
                 )
             }
             ("GET", "/kv-watch") => {
                 let prefix = parameter("prefix").unwrap_or_default();
-                let after: u64 = parameter("after").and_then(|text| text.parse().ok()).unwrap_or(0);
-                let wait: u64 = parameter("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let after: u64 = parameter("after")
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0);
+                let wait: u64 = parameter("waitMs")
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0);
                 let end = Instant::now() + Duration::from_millis(wait);
                 loop {
                     let events: Vec<String> = state
@@ -276,13 +282,16 @@
 
 fn number(json: &str, field: &str) -> Option<u64> {
     let rest = json.split_once(&format!("\"{field}\":"))?.1;
-    let digits: String = rest.trim_start().chars().take_while(char::is_ascii_digit).collect();
+    let digits: String = rest
+        .trim_start()
+        .chars()
+        .take_while(char::is_ascii_digit)
+        .collect();
     digits.parse().ok()
 }
 
 fn encode_base64(bytes: &[u8]) -> String {
-    const ALPHABET: &[u8; 64] =
-        b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
         let mut group = [0u8; 3];
