Log and count what heartbeats change, and those that are ignored

The log of the host gave one reason for all of them, ServerEnded, which three causes share: a heartbeat of a new incarnation, a change of the service, and a refused connection. It did not show that heartbeats were refused afterwards.

Adds an event, a log line and a counter each for a replaced server, a changed service and an ignored heartbeat. Names that come with heartbeats are cut to 64 characters in log lines.

--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -103,6 +103,29 @@
         /// What the change was derived from.
         source: ServerStateSource,
     },
+    /// A heartbeat showed that a later server has replaced the one beside the host.
+    ServerReplaced {
+        /// Identifier of the server that has ended.
+        former_id: String,
+        /// Identifier of the server that runs now.
+        server_id: String,
+        /// Start of the server that runs now, in milliseconds since the Unix epoch.
+        started_unix_millis: u64,
+    },
+    /// The server beside the host runs another service than before.
+    ServiceChanged {
+        /// The previous service.
+        before: String,
+        /// The new service.
+        service: String,
+    },
+    /// A heartbeat was ignored and not confirmed.
+    HeartbeatIgnored {
+        /// Identifier of the server that the heartbeat names.
+        server_id: String,
+        /// Why it was ignored.
+        reason: IgnoreReason,
+    },
     /// A peer was discovered, or has restarted.
     PeerMet {
         /// Address of the peer.
@@ -252,11 +275,17 @@
     Detoured,
     /// Messages passed on for two other processes.
     Relayed,
+    /// Replacements of the backend server by a later one.
+    ServerReplaced,
+    /// Changes of the service that the backend server runs.
+    ServiceChanged,
+    /// Heartbeats ignored.
+    HeartbeatIgnored,
 }
 
 impl EventKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 25] = [
         Self::Placed,
         Self::PassedOn,
         Self::Offered,
@@ -279,6 +308,9 @@
         Self::PaceChanged,
         Self::Detoured,
         Self::Relayed,
+        Self::ServerReplaced,
+        Self::ServiceChanged,
+        Self::HeartbeatIgnored,
     ];
 
     /// Returns the name of the counter.
@@ -306,6 +338,9 @@
             Self::PaceChanged => "hyssopstair.server.pace_changes",
             Self::Detoured => "hyssopstair.message.detoured",
             Self::Relayed => "hyssopstair.message.relayed",
+            Self::ServerReplaced => "hyssopstair.server.replacements",
+            Self::ServiceChanged => "hyssopstair.server.service_changes",
+            Self::HeartbeatIgnored => "hyssopstair.server.ignored_heartbeats",
         }
     }
 
@@ -334,6 +369,9 @@
             Self::PaceChanged => "Changes of the number of requests that the server bears",
             Self::Detoured => "Messages sent to a peer through another process",
             Self::Relayed => "Messages passed on for two other processes",
+            Self::ServerReplaced => "Replacements of the backend server by a later one",
+            Self::ServiceChanged => "Changes of the service that the backend server runs",
+            Self::HeartbeatIgnored => "Heartbeats that were ignored and not confirmed",
         }
     }
 }
@@ -364,6 +402,9 @@
             Self::PaceChanged { .. } => EventKind::PaceChanged,
             Self::Detoured { .. } => EventKind::Detoured,
             Self::Relayed { .. } => EventKind::Relayed,
+            Self::ServerReplaced { .. } => EventKind::ServerReplaced,
+            Self::ServiceChanged { .. } => EventKind::ServiceChanged,
+            Self::HeartbeatIgnored { .. } => EventKind::HeartbeatIgnored,
         }
     }
 }
@@ -430,6 +471,15 @@
     Connect,
 }
 
+/// Why a heartbeat was ignored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IgnoreReason {
+    /// It cannot be decoded.
+    Malformed,
+    /// It is a duplicate, out of order or from an earlier incarnation.
+    Stale,
+}
+
 /// Why a host accepts more or fewer requests in progress for its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PaceChangeCause {
--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -174,7 +174,11 @@
         if self.identity.service == service {
             return;
         }
-        self.identity.service = service.to_owned();
+        let before = std::mem::replace(&mut self.identity.service, service.to_owned());
+        outbox.record_event(FlowEvent::ServiceChanged {
+            before,
+            service: service.to_owned(),
+        });
         self.reset_all_flows(outbox);
         self.schedule_hellos();
         self.tick(now, outbox);
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -11,6 +11,7 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::event::FlowEvent;
+use crate::event::IgnoreReason;
 use crate::event::ServerStateSource;
 use crate::heartbeat::HeartbeatOrder;
 use crate::heartbeat::HeartbeatTracker;
@@ -149,11 +150,24 @@
     ) -> HeartbeatVerdict {
         let is_first = self.server.newest_heartbeat().is_none();
         let last_heartbeat_at = self.server.last_heartbeat_at();
+        let former_heartbeat = self.server.newest_heartbeat();
+        let former_id = former_heartbeat.map_or(String::new(), |former| former.id.clone());
         let order = self.server.heartbeats.record(heartbeat, now);
         let was_relearning = self.is_relearning;
         match order {
-            HeartbeatOrder::Stale => return HeartbeatVerdict::Stale,
+            HeartbeatOrder::Stale => {
+                outbox.record_event(FlowEvent::HeartbeatIgnored {
+                    server_id: heartbeat.id.clone(),
+                    reason: IgnoreReason::Stale,
+                });
+                return HeartbeatVerdict::Stale;
+            }
             HeartbeatOrder::NewIncarnation => {
+                outbox.record_event(FlowEvent::ServerReplaced {
+                    former_id,
+                    server_id: heartbeat.id.clone(),
+                    started_unix_millis: heartbeat.started_unix_millis,
+                });
                 let replaced_at = self.replacement_time(heartbeat, last_heartbeat_at, now);
                 self.reset_flows_before(Some(replaced_at), outbox);
                 self.is_relearning = false;
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -44,6 +44,11 @@
         /// Notified when the heartbeat is accepted; dropped if it is stale.
         applied_sender: oneshot::Sender<()>,
     },
+    /// Counts and logs a heartbeat that cannot be decoded.
+    IgnoreMalformedHeartbeat {
+        /// Identifier of the server that the heartbeat names.
+        server_id: String,
+    },
     /// Handles a deregistration: the server beside the host is shutting down.
     Deregistration {
         /// ID of the server.
--- a/crates/hyssopstaird/src/carry/http.rs
+++ b/crates/hyssopstaird/src/carry/http.rs
@@ -111,7 +111,7 @@
         let call = calls::decode_call(request.method().as_str(), request.uri().path());
         let status = match call {
             Some(InboundCall::Readiness) => self.answer_probe().await,
-            Some(InboundCall::Heartbeat { id }) => self.handle_heartbeat(&id, request).await,
+            Some(InboundCall::Heartbeat { id }) => self.handle_heartbeat(id, request).await,
             Some(InboundCall::Deregistration { id }) => self.handle_deregistration(id).await,
             None => StatusCode::NOT_FOUND,
         };
@@ -133,14 +133,17 @@
         }
     }
 
-    async fn handle_heartbeat(&self, id: &str, request: Request<Incoming>) -> StatusCode {
+    async fn handle_heartbeat(&self, id: String, request: Request<Incoming>) -> StatusCode {
         let body = Limited::new(request.into_body(), MAX_BODY_BYTES)
             .collect()
             .await;
-        let Ok(body) = body else {
-            return StatusCode::BAD_REQUEST;
-        };
-        let Some(heartbeat) = decode_heartbeat(id, &body.to_bytes()) else {
+        let heartbeat = body
+            .ok()
+            .and_then(|body| decode_heartbeat(&id, &body.to_bytes()));
+        let Some(heartbeat) = heartbeat else {
+            let command = CarryCommand::IgnoreMalformedHeartbeat { server_id: id };
+            // Sending fails only when the event loop has ended, and with it the process.
+            let _ = self.command_sender.send(command).await;
             return StatusCode::BAD_REQUEST;
         };
         let (applied_sender, applied_receiver) = oneshot::channel();
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -34,6 +34,10 @@
 /// Size of the buffer, in bytes, from which further lines are dropped.
 const MAX_BUFFER_BYTES: usize = 256 * 1024;
 
+/// Maximum length of a name in a line, in characters. Whoever sends a heartbeat chooses the
+/// names in it.
+const MAX_NAME_CHARS: usize = 64;
+
 /// Number of kinds of lines, each with a limit of its own: one for each kind of event,
 /// and one for lines about the process.
 const LINE_KIND_COUNT: usize = EventKind::ALL.len() + 1;
@@ -257,6 +261,28 @@
                 "source": format!("{source:?}"),
             }),
         ),
+        FlowEvent::ServerReplaced {
+            former_id,
+            server_id,
+            started_unix_millis,
+        } => (
+            "host",
+            "a later server has replaced the former one",
+            json!({
+                "former": shorten_name(former_id), "server": shorten_name(server_id),
+                "started_unix_ms": started_unix_millis,
+            }),
+        ),
+        FlowEvent::ServiceChanged { before, service } => (
+            "host",
+            "the service of the server changed",
+            json!({ "before": shorten_name(before), "service": shorten_name(service) }),
+        ),
+        FlowEvent::HeartbeatIgnored { server_id, reason } => (
+            "host",
+            "ignored a heartbeat",
+            json!({ "server": shorten_name(server_id), "reason": format!("{reason:?}") }),
+        ),
         FlowEvent::PeerMet { peer } => ("roster", "discovered a peer", json!({ "peer": peer })),
         FlowEvent::PeerLost {
             peer,
@@ -349,6 +375,10 @@
     json!({ "host": silent.host, "silent_ms": silent.silent_millis })
 }
 
+fn shorten_name(name: &str) -> String {
+    name.chars().take(MAX_NAME_CHARS).collect()
+}
+
 fn format_flow(flow: &FlowKey) -> String {
     format!("{}>{}", flow.caller, flow.target)
 }
--- a/crates/hyssopstaird/src/carry/process/commands.rs
+++ b/crates/hyssopstaird/src/carry/process/commands.rs
@@ -2,6 +2,8 @@
 
 use std::net::Ipv4Addr;
 
+use hyssopstair_flows::event::FlowEvent;
+use hyssopstair_flows::event::IgnoreReason;
 use hyssopstair_flows::heartbeat::HeartbeatVerdict;
 use hyssopstair_rules::carry_settings::CarrySettings;
 use hyssopstair_wire::time::MonotonicTime;
@@ -37,6 +39,12 @@
                     let _ = applied_sender.send(());
                 }
             }
+            CarryCommand::IgnoreMalformedHeartbeat { server_id } => {
+                self.outbox.record_event(FlowEvent::HeartbeatIgnored {
+                    server_id,
+                    reason: IgnoreReason::Malformed,
+                });
+            }
             CarryCommand::Deregistration { id, applied_sender } => {
                 if let CarryPart::Host(host) = &mut self.forwarder {
                     host.receive_deregistration(&id, &mut self.outbox);
