Ignore heartbeats that name a service which is not configured

The heartbeats of the true server were refused for the next 4 s, and its return reset all flows once more.

Cause: the host took what a heartbeat claims for a fact. A later start time made it a new incarnation, which resets the flows of the former one, and the other service reset the rest (FlowHost::receive_heartbeat, set_service). The heartbeat also became the newest one, so that those of the true server counted as older.

Fix: before a heartbeat is recorded, its service is compared with that of the settings and with those of the routes in force. A heartbeat that names none of them changes nothing, is not confirmed, and is counted and logged as UnknownService. It works because the check comes before the order of heartbeats is updated: neither way to a reset is reached, and the true server's heartbeats stay in sequence. A server of another configured service is accepted as before; if its service is new, from the moment at which the routes name it.

The simulation sends such a heartbeat after every third one of each server, at random faults, and asserts that it is not accepted.

--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -7,6 +7,7 @@
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::carried::StoreEra;
 
+use crate::heartbeat::IgnoreReason;
 use crate::store_position::StorePosition;
 
 /// An event that is logged and counted.
@@ -471,15 +472,6 @@
     Connect,
 }
 
-/// Why a heartbeat was ignored.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum IgnoreReason {
-    /// It cannot be decoded.
-    Malformed,
-    /// It is a duplicate, out of order or from an earlier incarnation.
-    Stale,
-}
-
 /// Why a host accepts more or fewer requests in progress for its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PaceChangeCause {
--- a/crates/flows/src/heartbeat.rs
+++ b/crates/flows/src/heartbeat.rs
@@ -37,9 +37,19 @@
 pub enum HeartbeatVerdict {
     /// The heartbeat was newer than all others and has been applied.
     Accepted,
-    /// The heartbeat was ignored: it is a duplicate, out of order or from an earlier
-    /// incarnation.
+    /// The heartbeat has changed nothing.
+    Ignored(IgnoreReason),
+}
+
+/// Why a heartbeat was ignored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IgnoreReason {
+    /// It cannot be decoded.
+    Malformed,
+    /// It is a duplicate, out of order or from an earlier incarnation.
     Stale,
+    /// It names a service that neither the settings nor the routes in force name.
+    UnknownService,
 }
 
 /// Tracks the newest heartbeat of one server.
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -11,11 +11,11 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::event::FlowEvent;
-use crate::event::IgnoreReason;
 use crate::event::ServerStateSource;
 use crate::heartbeat::HeartbeatOrder;
 use crate::heartbeat::HeartbeatTracker;
 use crate::heartbeat::HeartbeatVerdict;
+use crate::heartbeat::IgnoreReason;
 use crate::heartbeat::ServerHeartbeat;
 use crate::host::FlowHost;
 use crate::outbox::FlowOutbox;
@@ -141,13 +141,17 @@
 
 impl FlowHost {
     /// Handles a heartbeat of the server, and returns whether it was accepted. The first
-    /// heartbeat of a new incarnation resets the flows of the previous one.
+    /// heartbeat of a new incarnation resets the flows of the previous one. A heartbeat that
+    /// cannot be from the server beside the host changes nothing.
     pub fn receive_heartbeat(
         &mut self,
         heartbeat: &ServerHeartbeat,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) -> HeartbeatVerdict {
+        if let Some(reason) = self.check_heartbeat(heartbeat) {
+            return ignore_heartbeat(heartbeat, reason, outbox);
+        }
         let is_first = self.server.newest_heartbeat().is_none();
         let last_heartbeat_at = self.server.last_heartbeat_at();
         let former_heartbeat = self.server.newest_heartbeat();
@@ -156,11 +160,7 @@
         let was_relearning = self.is_relearning;
         match order {
             HeartbeatOrder::Stale => {
-                outbox.record_event(FlowEvent::HeartbeatIgnored {
-                    server_id: heartbeat.id.clone(),
-                    reason: IgnoreReason::Stale,
-                });
-                return HeartbeatVerdict::Stale;
+                return ignore_heartbeat(heartbeat, IgnoreReason::Stale, outbox);
             }
             HeartbeatOrder::NewIncarnation => {
                 outbox.record_event(FlowEvent::ServerReplaced {
@@ -203,6 +203,14 @@
         HeartbeatVerdict::Accepted
     }
 
+    /// Returns why a heartbeat cannot be from the server beside the host, if that is so. A
+    /// service that only a heartbeat names is no evidence that the server was replaced.
+    fn check_heartbeat(&self, heartbeat: &ServerHeartbeat) -> Option<IgnoreReason> {
+        let is_known = heartbeat.service == self.identity.service
+            || self.routes.table().has_service(&heartbeat.service);
+        (!is_known).then_some(IgnoreReason::UnknownService)
+    }
+
     /// Returns the time before which all open flows belong to the server whose last
     /// heartbeat arrived at `last_heartbeat_at`, and which the sender of `heartbeat` has
     /// replaced.
@@ -323,3 +331,15 @@
         self.schedule_hellos();
     }
 }
+
+fn ignore_heartbeat(
+    heartbeat: &ServerHeartbeat,
+    reason: IgnoreReason,
+    outbox: &mut FlowOutbox,
+) -> HeartbeatVerdict {
+    outbox.record_event(FlowEvent::HeartbeatIgnored {
+        server_id: heartbeat.id.clone(),
+        reason,
+    });
+    HeartbeatVerdict::Ignored(reason)
+}
--- a/crates/flows/src/routes.rs
+++ b/crates/flows/src/routes.rs
@@ -182,6 +182,15 @@
             .unwrap_or_default()
     }
 
+    /// Returns whether the configuration names a service.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.service_info(service).is_some()
+            || self
+                .routes
+                .iter()
+                .any(|route| route.shares.iter().any(|share| share.service == service))
+    }
+
     fn service_info(&self, service: &str) -> Option<&ServiceInfo> {
         let index = self
             .services
--- a/crates/flows/tests/heartbeat.rs
+++ b/crates/flows/tests/heartbeat.rs
@@ -81,6 +81,57 @@
         .assert_eq(&take_output(&mut outbox));
 }
 
+// A heartbeat of another writer, with a service that is not configured, must not reset flows of
+// the living server, nor keep out the heartbeats of that server.
+#[test]
+fn a_heartbeat_with_an_unknown_service_resets_no_flow() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_ready_host(1);
+    open_flow(&mut host, 4_001, 20, &mut outbox);
+    outbox.clear();
+    let other = ServerHeartbeat {
+        id: "i-other".to_owned(),
+        service: "billing".to_owned(),
+        ..heartbeat_of(HOST_START_UNIX_MILLIS + 1_000, 1)
+    };
+    let other_verdict = host.receive_heartbeat(&other, at(1_100), &mut outbox);
+    let verdict = host.receive_heartbeat(&heartbeat(2), at(1_200), &mut outbox);
+    expect!["other writer Ignored(UnknownService), server Accepted, sent: "].assert_eq(&format!(
+        "other writer {other_verdict:?}, server {verdict:?}, sent: {}",
+        take_output(&mut outbox)
+    ));
+}
+
+// A server of another service that is started beside the host, for example after an instance
+// was replaced, counts once the routes name its service.
+#[test]
+fn a_server_of_another_configured_service_is_accepted() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_ready_host(1);
+    open_flow(&mut host, 4_001, 20, &mut outbox);
+    outbox.clear();
+    let next = ServerHeartbeat {
+        id: "i-2".to_owned(),
+        service: "archive".to_owned(),
+        ..heartbeat_of(HOST_START_UNIX_MILLIS + 1_000, 1)
+    };
+    let early_verdict = host.receive_heartbeat(&next, at(1_100), &mut outbox);
+    let early_output = take_output(&mut outbox);
+    host.set_routes(
+        route_table(2, vec![route_rule(target_address(), "archive")]),
+        &mut outbox,
+    );
+    let verdict = host.receive_heartbeat(&next, at(1_200), &mut outbox);
+    expect![[r#"
+        before the routes Ignored(UnknownService), sent: 
+        with the routes Accepted, sent: reset 100.64.0.7:4001 at 5001"#]]
+    .assert_eq(&format!(
+        "before the routes {early_verdict:?}, sent: {early_output}\n\
+         with the routes {verdict:?}, sent: {}",
+        take_output(&mut outbox)
+    ));
+}
+
 #[test]
 fn heartbeats_of_a_server_whose_clock_was_set_back_are_accepted_again() {
     let mut tracker = HeartbeatTracker::default();
--- a/crates/flows/tests/model/world/servers.rs
+++ b/crates/flows/tests/model/world/servers.rs
@@ -26,6 +26,9 @@
 /// Time after its start for which a server is cold, in milliseconds.
 const COLD_MILLIS: u64 = 2_000;
 
+/// Number of heartbeats of a server from one heartbeat of another writer to the next.
+const OTHER_WRITER_INTERVAL: u64 = 3;
+
 /// Factor by which the requests of a slow server take longer.
 const SLOW_FACTOR: u64 = 4;
 
@@ -80,6 +83,9 @@
                 is_confirmed = verdict == HeartbeatVerdict::Accepted && is_draining;
             }
         });
+        if heartbeat.sequence % OTHER_WRITER_INTERVAL == 1 {
+            self.send_other_heartbeat(host, &heartbeat);
+        }
         let millis = self.millis();
         let server = &mut self.servers[usize::from(host) - 1];
         if is_confirmed {
@@ -87,6 +93,25 @@
         }
     }
 
+    /// Sends a host a heartbeat of another writer, which claims that a server of a service that
+    /// is not configured has just replaced the one that sent `heartbeat`.
+    fn send_other_heartbeat(&mut self, host: u8, heartbeat: &ServerHeartbeat) {
+        let other = ServerHeartbeat {
+            id: "i-other".to_owned(),
+            started_unix_millis: self.unix_millis(),
+            service: "billing".to_owned(),
+            ..heartbeat.clone()
+        };
+        let now = self.time();
+        let mut verdict = None;
+        self.update_process(fixture::host_address(host), |role, outbox| {
+            if let ProcessRole::Host(host) = role {
+                verdict = Some(host.receive_heartbeat(&other, now, outbox));
+            }
+        });
+        assert_ne!(verdict, Some(HeartbeatVerdict::Accepted));
+    }
+
     /// Delivers a packet to the server beside the host with this address.
     pub(super) fn receive_at_server(&mut self, address: Ipv4Addr, packet: &ModelPacket) {
         let host = address.octets()[3];
--- a/crates/hyssopstaird/src/carry/command.rs
+++ b/crates/hyssopstaird/src/carry/command.rs
@@ -41,7 +41,7 @@
     Heartbeat {
         /// The heartbeat.
         heartbeat: ServerHeartbeat,
-        /// Notified when the heartbeat is accepted; dropped if it is stale.
+        /// Notified when the heartbeat is accepted; dropped if it is ignored.
         applied_sender: oneshot::Sender<()>,
     },
     /// Counts and logs a heartbeat that cannot be decoded.
--- a/crates/hyssopstaird/src/carry/process/commands.rs
+++ b/crates/hyssopstaird/src/carry/process/commands.rs
@@ -3,8 +3,8 @@
 use std::net::Ipv4Addr;
 
 use hyssopstair_flows::event::FlowEvent;
-use hyssopstair_flows::event::IgnoreReason;
 use hyssopstair_flows::heartbeat::HeartbeatVerdict;
+use hyssopstair_flows::heartbeat::IgnoreReason;
 use hyssopstair_rules::carry_settings::CarrySettings;
 use hyssopstair_wire::time::MonotonicTime;
 use serde_json::json;
@@ -27,14 +27,16 @@
                 heartbeat,
                 applied_sender,
             } => {
-                let verdict = match &mut self.forwarder {
+                // Only a heartbeat that has been applied is confirmed. No server is beside a
+                // balancer.
+                let is_applied = match &mut self.forwarder {
                     CarryPart::Host(host) => {
                         host.receive_heartbeat(&heartbeat, now, &mut self.outbox)
+                            == HeartbeatVerdict::Accepted
                     }
-                    CarryPart::Balancer(_) => HeartbeatVerdict::Stale,
+                    CarryPart::Balancer(_) => false,
                 };
-                // Only a heartbeat that has been applied is confirmed.
-                if verdict == HeartbeatVerdict::Accepted {
+                if is_applied {
                     // A server that no longer waits for the response sends another heartbeat.
                     let _ = applied_sender.send(());
                 }
