Ignore heartbeats that change the service of a running server

A heartbeat with the ID and the start time of the running server, a higher number and another configured service reset all flows of that server, and its own heartbeats were refused until their numbers had caught up.

Cause: the service was taken over from each accepted heartbeat, not only from the first of an incarnation. A server runs one service from its start to its end, so a heartbeat that says otherwise is ignored and counted as ChangedService, before the order of heartbeats is updated.

Test, which failed before (the flow was reset, the server's next heartbeat was stale): a_heartbeat_that_changes_the_service_of_a_running_server_resets_no_flow.

--- a/crates/flows/src/heartbeat.rs
+++ b/crates/flows/src/heartbeat.rs
@@ -50,6 +50,8 @@
     Stale,
     /// It names a service that neither the settings nor the routes in force name.
     UnknownService,
+    /// It names another service than earlier heartbeats of the same incarnation.
+    ChangedService,
 }
 
 /// Tracks the newest heartbeat of one server.
@@ -136,6 +138,7 @@
     }
 }
 
-fn is_same_incarnation(one: &ServerHeartbeat, other: &ServerHeartbeat) -> bool {
+/// Returns whether two heartbeats are from the same run of a server.
+pub fn is_same_incarnation(one: &ServerHeartbeat, other: &ServerHeartbeat) -> bool {
     one.id == other.id && one.started_unix_millis == other.started_unix_millis
 }
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -17,6 +17,7 @@
 use crate::heartbeat::HeartbeatVerdict;
 use crate::heartbeat::IgnoreReason;
 use crate::heartbeat::ServerHeartbeat;
+use crate::heartbeat::is_same_incarnation;
 use crate::host::FlowHost;
 use crate::outbox::FlowOutbox;
 
@@ -208,7 +209,13 @@
     fn check_heartbeat(&self, heartbeat: &ServerHeartbeat) -> Option<IgnoreReason> {
         let is_known = heartbeat.service == self.identity.service
             || self.routes.table().has_service(&heartbeat.service);
-        (!is_known).then_some(IgnoreReason::UnknownService)
+        if !is_known {
+            return Some(IgnoreReason::UnknownService);
+        }
+        let newest = self.server.newest_heartbeat()?;
+        let is_changed =
+            is_same_incarnation(newest, heartbeat) && newest.service != heartbeat.service;
+        is_changed.then_some(IgnoreReason::ChangedService)
     }
 
     /// Returns the time before which all open flows belong to the server whose last
--- a/crates/flows/tests/heartbeat.rs
+++ b/crates/flows/tests/heartbeat.rs
@@ -102,6 +102,31 @@
     ));
 }
 
+// A server runs one service from its start to its end. A heartbeat with its ID and start time
+// but another configured service must not reset its flows.
+#[test]
+fn a_heartbeat_that_changes_the_service_of_a_running_server_resets_no_flow() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_ready_host(1);
+    let rules = vec![
+        route_rule(target_address(), SERVICE),
+        route_rule(caller_address(80), "archive"),
+    ];
+    host.set_routes(route_table(2, rules), &mut outbox);
+    open_flow(&mut host, 4_001, 20, &mut outbox);
+    outbox.clear();
+    let other = ServerHeartbeat {
+        service: "archive".to_owned(),
+        ..heartbeat(90)
+    };
+    let other_verdict = host.receive_heartbeat(&other, at(1_100), &mut outbox);
+    let verdict = host.receive_heartbeat(&heartbeat(2), at(1_200), &mut outbox);
+    expect!["other writer Ignored(ChangedService), server Accepted, sent: "].assert_eq(&format!(
+        "other writer {other_verdict:?}, server {verdict:?}, sent: {}",
+        take_output(&mut outbox)
+    ));
+}
+
 // A server of another service that is started beside the host, for example after an instance
 // was replaced, counts once the routes name its service.
 #[test]
