Keep the flows of a running server when settings name another service

SIGHUP with a settings file that names another service reset all open flows of the server, also while it ran on and held them: settings may change before the server is replaced, or name a service that the server does not run. Found by reading; no run has shown it.

Cause: the service of the settings was taken for evidence that the server was replaced. Only a heartbeat, or a refused connection, shows that. The service of the settings now only counts as known, so that the next server is accepted before the routes name its service. A host whose server has not sent a heartbeat takes the service over and keeps its flows.

Test, which failed before (reset at the reload): settings_that_name_another_service_reset_no_flow_ of_a_running_server.

--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -74,6 +74,8 @@
 #[derive(Debug)]
 pub struct FlowHost {
     identity: HostIdentity,
+    /// Name of the service that the settings name for the server, which may not run it yet.
+    assigned_service: String,
     created_at: MonotonicTime,
     routes: RouteReplica,
     evacuation: EvacuationReplica,
@@ -101,6 +103,7 @@
         let follows_pace = identity.follows_pace;
         let detours = DetourTable::new(identity.address, &identity.zone, now);
         let mut host = Self {
+            assigned_service: identity.service.clone(),
             identity,
             detours,
             created_at: now,
@@ -168,9 +171,19 @@
         self.routes.table().health_path(&self.identity.service)
     }
 
+    /// Sets the service that the settings name for the server. A server that has sent a
+    /// heartbeat keeps its service and its flows until a heartbeat shows that it was replaced.
+    pub fn assign_service(&mut self, service: &str) {
+        self.assigned_service = service.to_owned();
+        if self.server.newest_heartbeat().is_none() && self.identity.service != service {
+            self.identity.service = service.to_owned();
+            self.schedule_hellos();
+        }
+    }
+
     /// Sets the service that the server runs. If it differs from the current one, all
     /// open flows are reset.
-    pub fn set_service(&mut self, service: &str, now: MonotonicTime, outbox: &mut FlowOutbox) {
+    fn set_service(&mut self, service: &str, now: MonotonicTime, outbox: &mut FlowOutbox) {
         if self.identity.service == service {
             return;
         }
--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -208,6 +208,7 @@
     /// service that only a heartbeat names is no evidence that the server was replaced.
     fn check_heartbeat(&self, heartbeat: &ServerHeartbeat) -> Option<IgnoreReason> {
         let is_known = heartbeat.service == self.identity.service
+            || heartbeat.service == self.assigned_service
             || self.routes.table().has_service(&heartbeat.service);
         if !is_known {
             return Some(IgnoreReason::UnknownService);
--- a/crates/flows/tests/heartbeat.rs
+++ b/crates/flows/tests/heartbeat.rs
@@ -127,6 +127,33 @@
     ));
 }
 
+// Settings may name the next service before the server is replaced. Until a heartbeat shows that
+// it was, the flows of the running server are kept.
+#[test]
+fn settings_that_name_another_service_reset_no_flow_of_a_running_server() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_ready_host(1);
+    open_flow(&mut host, 4_001, 20, &mut outbox);
+    outbox.clear();
+    host.assign_service("archive");
+    let verdict = host.receive_heartbeat(&heartbeat(2), at(1_100), &mut outbox);
+    let output = take_output(&mut outbox);
+    let next = ServerHeartbeat {
+        id: "i-2".to_owned(),
+        service: "archive".to_owned(),
+        ..heartbeat_of(HOST_START_UNIX_MILLIS + 1_150, 1)
+    };
+    let next_verdict = host.receive_heartbeat(&next, at(1_200), &mut outbox);
+    expect![[r#"
+        running server Accepted, sent: 
+        next server Accepted, sent: reset 100.64.0.7:4001 at 5001"#]]
+    .assert_eq(&format!(
+        "running server {verdict:?}, sent: {output}\n\
+         next server {next_verdict:?}, sent: {}",
+        take_output(&mut outbox)
+    ));
+}
+
 // A server of another service that is started beside the host, for example after an instance
 // was replaced, counts once the routes name its service.
 #[test]
--- a/crates/hyssopstaird/src/carry/process/commands.rs
+++ b/crates/hyssopstaird/src/carry/process/commands.rs
@@ -115,8 +115,8 @@
         self.journal.write_process(message, fields, now);
     }
 
-    /// Reads the settings file again and applies its contacts and the service of the
-    /// server. Other settings change only with a restart.
+    /// Reads the settings file again and applies its contacts and the service that it names
+    /// for the server. Other settings change only with a restart.
     pub(super) fn reload_settings(&mut self) {
         let now = self.clock.now();
         let file_text =
@@ -132,7 +132,7 @@
                 if let (CarryPart::Host(host), Some(server)) =
                     (&mut self.forwarder, &settings.server)
                 {
-                    host.set_service(&server.service, now, &mut self.outbox);
+                    host.assign_service(&server.service);
                 }
                 self.journal
                     .write_process("reloaded the settings", json!({}), now);
