--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -2,7 +2,7 @@
 //! their servers, and consumers.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -21,6 +21,9 @@
 const ALPHA: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 const BETA: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
 
+/// Zones of the machines.
+const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+
 type Failure = Box<dyn std::error::Error>;
 
 /// A running deployment.
@@ -56,6 +59,22 @@
     )
 }
 
+/// Starts the balancer with this number.
+fn start_balancer(network: &Network, directory: &Path, number: u8, seeds: &[Ipv4Addr]) -> Result<Daemon, Failure> {
+    let fields = Fields {
+        name: format!("edge-{number}"),
+        zone: ZONES[usize::from(number) % 2],
+        ip: network.balancer(number),
+        service: "",
+        seeds: seeds.to_vec(),
+        store: network.store(),
+        has_evacuation: false,
+    };
+    let mut daemon = Daemon::create(directory, "deploy/balancer.yaml", &fields)?;
+    daemon.start()?;
+    Ok(daemon)
+}
+
 impl Deployment {
     /// Starts the deployment and waits until it is ready. `services` names the service of each
     /// host's server.
@@ -75,28 +94,16 @@
         store.start(network.store())?;
         store.write("op/config", &configuration(11));
         let seeds = vec![network.balancer(0), network.balancer(1)];
-        let zones = ["zone-a", "zone-b"];
         let mut balancers = Vec::new();
         for number in 0..2_u8 {
-            let fields = Fields {
-                name: format!("edge-{number}"),
-                zone: zones[usize::from(number) % 2],
-                ip: network.balancer(number),
-                service: "",
-                seeds: seeds.clone(),
-                store: network.store(),
-                has_evacuation: false,
-            };
-            let mut daemon = Daemon::create(&directory, "deploy/balancer.yaml", &fields)?;
-            daemon.start()?;
-            balancers.push(daemon);
+            balancers.push(start_balancer(&network, &directory, number, &seeds)?);
         }
         let mut hosts = Vec::new();
         let mut servers = Vec::new();
         for (number, service) in services.iter().enumerate() {
             let fields = Fields {
                 name: format!("side-{number}"),
-                zone: zones[number % 2],
+                zone: ZONES[number % 2],
                 ip: network.host(number as u8),
                 service,
                 seeds: seeds.clone(),
@@ -238,6 +245,7 @@
         "late-ping" => late_ping(record_path, has_trouble),
         "clock-jump" => clock_jump(record_path, has_trouble),
         "full-server" => full_server(record_path, has_trouble),
+        "new-edges" => new_edges(record_path, has_trouble),
         "foreign-ping" => foreign_ping(record_path, has_trouble),
         _ => Err(format!("no case is named {name}").into()),
     }
@@ -439,3 +447,93 @@
     count("at the end");
     deployment.finish()
 }
+
+/// `recoveryS` of the small sites, in seconds.
+const RECOVERY: f64 = 12.0;
+
+/// All edge machines are lost for good at the same time; others with the same roles come at new
+/// addresses.
+fn new_edges(record_path: &str, has_trouble: bool) -> Result<Vec<String>, Failure> {
+    let mut deployment = Deployment::start(record_path, &["alpha", "alpha", "beta"])?;
+    let shared = deployment.shared.clone();
+    // For each attempt, when it was begun and whether it was served.
+    let attempts: Arc<Mutex<Vec<(f64, bool)>>> = Arc::default();
+    for number in 0..10_u64 {
+        let attempts = attempts.clone();
+        let target = if number % 3 == 0 { BETA } else { ALPHA };
+        deployment.spawn_consumer(move |mut consumer, shared| {
+            while !shared.is_over.load(Ordering::SeqCst) {
+                let sent_at = shared.record.now();
+                let end = match consumer.open(target) {
+                    Ok(mut flow) => {
+                        let end = consumer.request(&mut flow, &|_| {});
+                        consumer.close(&flow);
+                        end
+                    }
+                    Err(end) => end,
+                };
+                shared.record.line(&format!("an attempt for {target} that began at {sent_at:.3} ends: {end:?}"));
+                attempts.lock().unwrap().push((sent_at, end == End::Served));
+                std::thread::sleep(Duration::from_millis(100 + random() % 100));
+            }
+        })?;
+    }
+    let start = shared.record.now();
+    shared.record.wait_until(start + 6.0);
+    let lost_at = shared.record.now();
+    if has_trouble {
+        shared.record.line("all edge machines are lost for good");
+        let former: Vec<Ipv4Addr> = deployment.balancers.iter().map(|daemon| daemon.ip).collect();
+        for daemon in &mut deployment.balancers {
+            daemon.signal("KILL");
+            daemon.wait_for_end(Duration::from_secs(2));
+        }
+        for ip in &former {
+            deployment.router.remove(*ip);
+        }
+        shared.record.wait_until(lost_at + 3.0);
+        let seeds = vec![deployment.network.balancer(2), deployment.network.balancer(3)];
+        let mut added = Vec::new();
+        for number in 2..4 {
+            added.push(start_balancer(&deployment.network, &deployment.directory, number, &seeds)?);
+            deployment.router.add(&shared, deployment.network.balancer(number));
+        }
+        deployment.balancers = added;
+        shared.record.line("other edge machines run at new addresses");
+    }
+    let back_at = shared.record.now().max(lost_at + 3.0);
+    shared.record.wait_until(back_at + 40.0);
+    let share = |from: f64, until: f64| {
+        let attempts = attempts.lock().unwrap();
+        let counted: Vec<bool> = attempts
+            .iter()
+            .filter(|(sent_at, _)| *sent_at >= from && *sent_at < until)
+            .map(|(_, is_served)| *is_served)
+            .collect();
+        let served = counted.iter().filter(|is_served| **is_served).count();
+        (served, counted.len())
+    };
+    let before = share(start, lost_at - 1.0);
+    let after = share(back_at + RECOVERY, back_at + RECOVERY + 10.0);
+    let first_served = attempts
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|(sent_at, is_served)| *sent_at >= back_at && *is_served)
+        .map(|(sent_at, _)| sent_at - back_at)
+        .fold(f64::INFINITY, f64::min);
+    shared.record.line(&format!(
+        "the first request that is served again was sent {first_served:.1} s after the machines were back"
+    ));
+    shared.record.line(&format!(
+        "served before: {} of {}; served of those sent from {RECOVERY} s after the machines were back on: {} of {}",
+        before.0, before.1, after.0, after.1
+    ));
+    if before.0 * 4 >= before.1 && after.0 * 4 < after.1 {
+        shared.break_rule(format!(
+            "RECOVER: of {} requests sent {RECOVERY} s and more after the machines were back, {} are served; before, {} of {} were",
+            after.1, after.0, before.0, before.1
+        ));
+    }
+    deployment.finish()
+}
--- a/review/stand-ins-2/src/consumer.rs
+++ b/review/stand-ins-2/src/consumer.rs
@@ -27,27 +27,39 @@
 
 impl Router {
     pub fn start(shared: &Arc<Shared>, addresses: &[Ipv4Addr]) -> Self {
-        let daemons: Vec<(Ipv4Addr, u32)> = addresses.iter().map(|ip| (*ip, 2)).collect();
         let router = Self {
-            daemons: Arc::new(Mutex::new(daemons)),
+            daemons: Arc::default(),
         };
-        for index in 0..addresses.len() {
-            let (router, shared) = (router.clone(), shared.clone());
-            let address = SocketAddrV4::new(addresses[index], READY_PORT);
-            std::thread::spawn(move || {
-                while !shared.has_ended.load(Ordering::SeqCst) {
-                    let status = call(address, "GET", "/readyz", "", Duration::from_millis(400));
-                    router.record_probe(index, status == Some(200));
-                    std::thread::sleep(Duration::from_millis(500));
-                }
-            });
+        for ip in addresses {
+            router.add(shared, *ip);
         }
         router
     }
 
-    fn record_probe(&self, index: usize, is_ready: bool) {
-        let missed = &mut self.daemons.lock().unwrap()[index].1;
-        *missed = if is_ready { 0 } else { *missed + 1 };
+    /// Adds a daemon, which is out of rotation until it responds.
+    pub fn add(&self, shared: &Arc<Shared>, ip: Ipv4Addr) {
+        self.daemons.lock().unwrap().push((ip, 2));
+        let (router, shared) = (self.clone(), shared.clone());
+        let address = SocketAddrV4::new(ip, READY_PORT);
+        std::thread::spawn(move || {
+            while !shared.has_ended.load(Ordering::SeqCst) {
+                let status = call(address, "GET", "/readyz", "", Duration::from_millis(400));
+                router.record_probe(ip, status == Some(200));
+                std::thread::sleep(Duration::from_millis(500));
+            }
+        });
+    }
+
+    /// Removes a daemon whose machine is gone for good.
+    pub fn remove(&self, ip: Ipv4Addr) {
+        self.daemons.lock().unwrap().retain(|(known, _)| *known != ip);
+    }
+
+    fn record_probe(&self, ip: Ipv4Addr, is_ready: bool) {
+        let mut daemons = self.daemons.lock().unwrap();
+        if let Some((_, missed)) = daemons.iter_mut().find(|(known, _)| *known == ip) {
+            *missed = if is_ready { 0 } else { *missed + 1 };
+        }
     }
 
     pub fn ready_count(&self) -> usize {
