--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,7 +4,7 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/hyssopstaird ] && [ -x target/review-2/release/review-case ] || exit 2
-target/review-2/release/review-case new-edges review/6/record.txt
+target/review-2/release/review-case foreign-ping review/6/record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -500,8 +500,22 @@
         }
         deployment.balancers = added;
         shared.record.line("other edge machines run at new addresses");
+        // `seedLagS` is 3 s; here the settings of the sides name the new seeds after 1 s.
+        shared.record.wait_until(lost_at + 4.0);
+        for host in &deployment.hosts {
+            for (number, ip) in former.iter().enumerate() {
+                host.replace_seed(*ip, deployment.network.balancer(number as u8 + 2))?;
+            }
+        }
+        shared.record.line("the settings files of the sides name the new edge machines");
+        if std::env::var("TROUBLE").is_ok_and(|value| value == "hup") {
+            shared.record.line("the processes on the sides get SIGHUP");
+            for host in &deployment.hosts {
+                host.signal("HUP");
+            }
+        }
     }
-    let back_at = shared.record.now().max(lost_at + 3.0);
+    let back_at = shared.record.now().max(lost_at + 4.0);
     shared.record.wait_until(back_at + 40.0);
     let share = |from: f64, until: f64| {
         let attempts = attempts.lock().unwrap();
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -119,6 +119,14 @@
         Ok(())
     }
 
+    /// Changes the settings file as the platform does when the seeds have changed; no signal is
+    /// sent.
+    pub fn replace_seed(&self, former: Ipv4Addr, present: Ipv4Addr) -> std::io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        let quote = |ip: Ipv4Addr| format!("\"{ip}:{CONTROL_PORT}\"");
+        std::fs::write(&self.settings, text.replace(&quote(former), &quote(present)))
+    }
+
     /// The ID of the process; 0 if it isn't running.
     pub fn id(&self) -> u32 {
         self.child.as_ref().map_or(0, Child::id)
