--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -51,7 +51,7 @@
     };
     let service = |name: &str| format!("{{\"name\":\"{name}\",\"healthCheckPath\":\"/healthz\"}}");
     format!(
-        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{},{}],\"limits\":{{\"idleTimeoutMs\":15000}}}}",
+        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{},{}],\"limits\":{{\"idleTimeoutMs\":30000}}}}",
         route(ALPHA, "alpha"),
         route(BETA, "beta"),
         service("alpha"),
@@ -229,9 +229,6 @@
         ));
         let broken = self.shared.broken.lock().unwrap().clone();
         let is_served = self.tally.served.load(Ordering::SeqCst) > 0;
-        if std::env::var("KEEP").is_err() {
-            let _ = std::fs::remove_dir_all(&self.directory);
-        }
         if is_served {
             Ok(broken)
         } else {
@@ -240,6 +237,15 @@
     }
 }
 
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.shared.has_ended.store(true, Ordering::SeqCst);
+        if std::env::var("KEEP").is_err() {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
 pub fn run(name: &str, record_path: &str, has_trouble: bool) -> Result<Vec<String>, Failure> {
     match name {
         "late-ping" => late_ping(record_path, has_trouble),
@@ -393,7 +399,7 @@
                 return;
             };
             shared.record.wait_until(LAST_COMER_AT - 1.0);
-            while shared.record.now() < LAST_COMER_AT + 2.0 {
+            while shared.record.now() < LAST_COMER_AT + 0.5 {
                 if consumer.request(&mut flow, &|_| {}) != End::Served {
                     return;
                 }
@@ -434,16 +440,16 @@
         ));
     };
     count("before");
-    shared.record.wait_until(start + 3.0);
-    count("3 s later");
+    shared.record.wait_until(start + 6.0);
+    count("6 s later");
     server.drain(&shared);
-    shared.record.wait_until(start + 9.0);
-    count("9 s later");
+    shared.record.wait_until(start + 12.0);
+    count("12 s later");
     // An idle consumer sends its next request; the server closes the flow after the answer.
     if let Some(flow) = flows.first_mut() {
         holder.request(flow, &|_| {});
     }
-    shared.record.wait_until(start + 11.0);
+    shared.record.wait_until(start + 17.0);
     count("at the end");
     deployment.finish()
 }
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -135,7 +135,10 @@
     /// Sends a signal to the process, by its ID.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let _ = Command::new("sh")
+                .arg("-c")
+                .arg(format!("kill -{name} {}", child.id()))
+                .status();
         }
     }
 
