--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -151,7 +151,7 @@
         };
         match self.place_new_flow(&new_flow, &route_match, now) {
             Placement::Offer(candidates) => {
-                self.send_offer(new_flow, candidates, now, outbox);
+                self.send_offer(new_flow, &route_match, candidates, now, outbox);
             }
             Placement::Full => {
                 let reason = RefusalReason::NoCapacity;
@@ -168,6 +168,7 @@
     fn send_offer(
         &mut self,
         new_flow: NewFlow,
+        route_match: &RouteMatch,
         candidates: CandidateList,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
@@ -176,13 +177,7 @@
             return;
         };
         let first_host = *first_host;
-        self.record_placement(
-            new_flow.flow,
-            first_host,
-            new_flow.attempt_count,
-            now,
-            outbox,
-        );
+        self.record_placement(&new_flow, route_match, first_host, now, outbox);
         let header = CarryHeader {
             next: next_hosts.iter().copied().collect(),
             ..self.build_forward_header(ForwardPurpose::Open)
@@ -482,9 +477,9 @@
 
     fn record_placement(
         &mut self,
-        flow: FlowKey,
+        new_flow: &NewFlow,
+        route_match: &RouteMatch,
         host: Ipv4Addr,
-        attempt: u8,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
@@ -494,12 +489,14 @@
         };
         record.flows_since_report = record.flows_since_report.saturating_add(1);
         outbox.record_event(FlowEvent::Placed {
-            flow,
+            flow: new_flow.flow,
             host,
+            service: route_match.service.clone(),
+            hello_age_millis: now.since(record.peer.hello_at).as_millis() as u32,
             routes,
             in_progress: record.load.in_progress,
             report_age_millis: now.since(record.reported_at).as_millis() as u32,
-            attempt,
+            attempt: new_flow.attempt_count,
         });
     }
 }
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -19,6 +19,10 @@
         flow: FlowKey,
         /// The first candidate.
         host: Ipv4Addr,
+        /// Name of the service that the routes select.
+        service: String,
+        /// Time since the last hello of the candidate, in milliseconds.
+        hello_age_millis: u32,
         /// Version of the routes that the balancer uses.
         routes: u64,
         /// Requests in progress at the host, by its last load report.
@@ -45,6 +49,15 @@
         flow: FlowKey,
         /// The balancer that forwarded it.
         balancer: Ipv4Addr,
+        /// Name of the service of the server.
+        service: String,
+        /// Time since the newest heartbeat of the server, in milliseconds; `None` before the
+        /// first.
+        heartbeat_age_millis: Option<u32>,
+        /// Version of the routes of the host; 0 if it has none.
+        routes: u64,
+        /// Version of the routes of the balancer.
+        balancer_routes: u64,
         /// Requests in progress at the server.
         in_progress: u16,
     },
--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -125,6 +125,12 @@
         self.server.slots().unwrap_or(DEFAULT_SLOTS)
     }
 
+    fn heartbeat_age_millis(&self, now: MonotonicTime) -> Option<u32> {
+        self.server.newest_heartbeat()?;
+        let age = now.since(self.server.last_heartbeat_at());
+        Some(age.as_millis() as u32)
+    }
+
     /// Returns whether an opening packet of the flow was delivered to the server, and no
     /// later packet of the caller was.
     fn has_pending_opening(&self, flow: &FlowKey) -> bool {
@@ -198,6 +204,10 @@
         outbox.record_event(FlowEvent::Offered {
             flow,
             balancer: header.balancer,
+            service: self.identity.service.clone(),
+            heartbeat_age_millis: self.heartbeat_age_millis(now),
+            routes: self.routes.table().version(),
+            balancer_routes: header.routes,
             in_progress: self.load.in_progress(now),
         });
         self.deliver_packet(&flow, packet, now, outbox);
--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -71,6 +71,8 @@
     pub version: PeerVersion,
     /// Whether it has said that it gets no messages of this process.
     pub is_deaf: bool,
+    /// Time at which its last hello arrived.
+    pub hello_at: MonotonicTime,
     /// Time at which its last hello or load report arrived.
     pub last_seen_at: MonotonicTime,
 }
@@ -365,6 +367,7 @@
             routes_version: hello.routes,
             version: extension.version,
             is_deaf: Duration::from_millis(u64::from(silence)) >= overdue_after,
+            hello_at: now,
             last_seen_at: now,
         };
         match &hello.role {
--- a/crates/flows/tests/opening.rs
+++ b/crates/flows/tests/opening.rs
@@ -85,8 +85,8 @@
         matches!(event, FlowEvent::Placed { .. })
     });
     expect![[r#"
-        Placed { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, host: 10.0.1.1, routes: 1, in_progress: 1, report_age_millis: 10, attempt: 0 }
-        Placed { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, host: 10.0.1.2, routes: 1, in_progress: 2, report_age_millis: 70, attempt: 1 }"#]]
+        Placed { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, host: 10.0.1.1, service: "lessons", hello_age_millis: 10, routes: 1, in_progress: 1, report_age_millis: 10, attempt: 0 }
+        Placed { flow: FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }, host: 10.0.1.2, service: "lessons", hello_age_millis: 70, routes: 1, in_progress: 2, report_age_millis: 70, attempt: 1 }"#]]
     .assert_eq(&placed);
 }
 
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -177,6 +177,8 @@
         FlowEvent::Placed {
             flow,
             host,
+            service,
+            hello_age_millis,
             routes,
             in_progress,
             report_age_millis,
@@ -185,7 +187,8 @@
             "balancer",
             "sent a new flow to a host",
             json!({
-                "flow": format_flow(flow), "host": host, "routes": routes, "in_progress": in_progress,
+                "flow": format_flow(flow), "host": host, "service": shorten_name(service),
+                "hello_age_ms": hello_age_millis, "routes": routes, "in_progress": in_progress,
                 "report_age_ms": report_age_millis, "attempt": attempt,
             }),
         ),
@@ -205,11 +208,19 @@
         FlowEvent::Offered {
             flow,
             balancer,
+            service,
+            heartbeat_age_millis,
+            routes,
+            balancer_routes,
             in_progress,
         } => (
             "host",
             "delivered a new flow to the server",
-            json!({ "flow": format_flow(flow), "balancer": balancer, "in_progress": in_progress }),
+            json!({
+                "flow": format_flow(flow), "balancer": balancer, "service": shorten_name(service),
+                "heartbeat_age_ms": heartbeat_age_millis, "routes": routes,
+                "balancer_routes": balancer_routes, "in_progress": in_progress,
+            }),
         ),
         FlowEvent::Refused {
             flow,
