--- a/crates/soak/src/fleet/events.rs
+++ b/crates/soak/src/fleet/events.rs
@@ -10,10 +10,13 @@
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::fleet::SoakFleet;
 use crate::network::INNER_BIND_PORT;
 use crate::network::PACKET_PORT;
+use crate::plan::ADDRESS_REUSE_DELAY;
+use crate::plan::FIXED_SERVICE_HOSTS;
 use crate::plan::SoakEvent;
 use crate::program::ZONE_COUNT;
 use crate::relay::ConnectionFault;
@@ -23,9 +26,6 @@
 /// the time for which a draining server must keep serving.
 const DRAIN_STOP_DELAY: Duration = Duration::from_millis(4_000);
 
-/// Time before an address is used again by a host of another service.
-const ADDRESS_REUSE_DELAY: Duration = Duration::from_secs(2);
-
 /// Offset by which the clock of a server is set back.
 const CLOCK_OFFSET: Duration = Duration::from_secs(3_600);
 
@@ -54,6 +54,7 @@
                 self.replace_crashed_server(host, duration, CLOCK_OFFSET)
             }
             SoakEvent::ReplaceServer(host) => self.replace_server(host),
+            SoakEvent::ReuseAddress(index) => self.reuse_address(index, duration),
             SoakEvent::LoseDatagrams(index) => {
                 self.inject_link_fault(index, duration, |links, is_active| {
                     links.is_lossy = is_active
@@ -202,9 +203,8 @@
         let fleet = self.clone();
         spawn_local(async move {
             fleet.servers[host].drain(DRAIN_STOP_DELAY).await;
-            // The first two hosts keep their services, so that each service always has a
-            // server. Another event may have started the next server already.
-            let is_reassignable = host >= 2 && !fleet.servers[host].is_running();
+            // Another event may have started the next server already.
+            let is_reassignable = host >= FIXED_SERVICE_HOSTS && !fleet.servers[host].is_running();
             if is_reassignable && fleet.random.borrow_mut().random_bool(0.5) {
                 fleet.reassign_host(host).await;
             }
@@ -215,10 +215,30 @@
     /// Stops a host and assigns its address to the other service, as when an instance is
     /// replaced.
     async fn reassign_host(&self, host: usize) {
-        let index = self.balancer_count + host;
-        self.stop_process(index);
+        self.stop_process(self.balancer_count + host);
+        self.change_service(host);
+        sleep(ADDRESS_REUSE_DELAY).await;
+    }
+
+    /// Ends an instance without notice, and starts one of the other service at its address. The
+    /// server starts `server_lag` after the host.
+    fn reuse_address(&self, index: usize, server_lag: Duration) {
+        let host = index - self.balancer_count;
+        let restart_at = Instant::now() + ADDRESS_REUSE_DELAY;
+        self.servers[host].crash();
+        self.kill_process(index, restart_at);
+        self.change_service(host);
+        let fleet = self.clone();
+        spawn_local(async move {
+            sleep_until((restart_at + server_lag).into()).await;
+            fleet.start_server(host, Duration::ZERO).await;
+        });
+    }
+
+    /// Assigns the address of an instance that ends now to the other service.
+    fn change_service(&self, host: usize) {
         let service = {
-            let member = &mut self.members.borrow_mut()[index];
+            let member = &mut self.members.borrow_mut()[self.balancer_count + host];
             member.unavailable_until = Instant::now() + ADDRESS_REUSE_DELAY;
             if member.service == "one" {
                 "two"
@@ -227,7 +247,6 @@
             }
         };
         self.set_service(host, service);
-        sleep(ADDRESS_REUSE_DELAY).await;
     }
 
     /// Sets a fault of the datagrams of a process for a while.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::seq::SliceRandom;
 
 use crate::program::ZONE_COUNT;
@@ -25,6 +26,18 @@
 /// Number by which the seed of the evacuation differs from that of the plan.
 const EVACUATION_SEED: u64 = 0xe7ac;
 
+/// Number by which the seed of the reused addresses differs from that of the plan.
+const REUSE_SEED: u64 = 0xadd4;
+
+/// Mean time between two groups of instances whose addresses are reused.
+const REUSE_INTERVAL: Duration = Duration::from_secs(6);
+
+/// Number of hosts for each one of a group of instances whose addresses are reused.
+const HOSTS_PER_REUSE: usize = 6;
+
+/// Longest time from the start of a host at a reused address to that of its server.
+const MAX_REUSE_LAG_MILLIS: u64 = 300;
+
 /// Number by which the seed of the upgrade differs from that of the plan.
 const UPGRADE_SEED: u64 = 0x0b1d;
 
@@ -35,6 +48,13 @@
 /// the other zones.
 const MIN_EVACUATION_HOSTS: usize = 6;
 
+/// Number of the first hosts that keep their services, so that each service always has a
+/// server.
+pub const FIXED_SERVICE_HOSTS: usize = 2;
+
+/// Time before an address is used again by an instance of another service.
+pub const ADDRESS_REUSE_DELAY: Duration = Duration::from_secs(2);
+
 /// Number of processes for each balancer, including the balancer itself. A run has at
 /// least two balancers.
 const PROCESSES_PER_BALANCER: u16 = 3;
@@ -79,6 +99,9 @@
     StoreDown,
     /// Makes the store respond late.
     StoreSlow,
+    /// Ends an instance without notice, host and server, and gives its address to one of the
+    /// other service, whose server starts after the duration.
+    ReuseAddress(usize),
     /// Makes the store execute calls without responding.
     StoreLosesResponses,
     /// Compacts the history of the store.
@@ -162,6 +185,7 @@
             at += Duration::from_millis(random.random_range(50..=max_gap_millis));
         }
         events.extend(choose_restores(seed, end));
+        events.extend(choose_reuses(seed, end, balancer_count, host_count));
         if host_count >= MIN_EVACUATION_HOSTS {
             events.push(choose_evacuation(seed, run_time));
         }
@@ -228,6 +252,33 @@
         .collect()
 }
 
+/// Returns the events that reuse addresses: groups of instances that end at the same time, as
+/// when a part of a fleet is lost.
+fn choose_reuses(
+    seed: u64,
+    end: Duration,
+    balancer_count: usize,
+    host_count: usize,
+) -> Vec<TimedEvent> {
+    let mut random = SmallRng::seed_from_u64(seed ^ REUSE_SEED);
+    let period = end.saturating_sub(WARM_UP_TIME + ADDRESS_REUSE_DELAY);
+    let reassignable: Vec<usize> = (FIXED_SERVICE_HOSTS..host_count).collect();
+    let group_size = (host_count / HOSTS_PER_REUSE).max(1);
+    let mut events = Vec::new();
+    for _ in 0..=period.as_millis() / REUSE_INTERVAL.as_millis() {
+        let at = WARM_UP_TIME + period.mul_f64(random.random_range(0.0..1.0));
+        for host in reassignable.sample(&mut random, group_size) {
+            let lag_millis = random.random_range(0..=MAX_REUSE_LAG_MILLIS);
+            events.push(TimedEvent {
+                at,
+                duration: Duration::from_millis(lag_millis),
+                event: SoakEvent::ReuseAddress(balancer_count + host),
+            });
+        }
+    }
+    events
+}
+
 /// Returns the event that empties a zone, some seconds before the others end until shortly
 /// before the end of the run, so that it is in force in a time without faults as well.
 fn choose_evacuation(seed: u64, run_time: Duration) -> TimedEvent {
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -4,6 +4,7 @@
 //! another service or with its clock set back. It reports violated invariants to the
 //! checker.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::Ipv4Addr;
@@ -37,6 +38,9 @@
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Time after which a heartbeat that nobody answered is repeated.
+const HEARTBEAT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Timeout of a request to the host, such as a heartbeat.
 const HOST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -101,6 +105,8 @@
     checker: Rc<RefCell<SoakChecker>>,
     /// The current incarnation; `None` if the server is not running.
     incarnation: Rc<RefCell<Option<ServerIncarnation>>>,
+    /// Whether an incarnation is being started.
+    is_starting: Rc<Cell<bool>>,
     /// Number of incarnations so far.
     incarnation_count: Rc<RefCell<u64>>,
 }
@@ -113,6 +119,7 @@
             zone,
             checker,
             incarnation: Rc::default(),
+            is_starting: Rc::default(),
             incarnation_count: Rc::default(),
         }
     }
@@ -123,15 +130,25 @@
     }
 
     /// Starts an incarnation that serves `service` and whose clock is `clock_offset`
-    /// behind. Does nothing if the server is running.
+    /// behind. Does nothing if the server is running or being started.
     ///
     /// # Errors
     ///
     /// Returns an error if the server's address is in use.
     pub async fn start(&self, service: &str, clock_offset: Duration) -> std::io::Result<()> {
-        if self.is_running() {
+        if self.is_running() || self.is_starting.replace(true) {
             return Ok(());
         }
+        let result = self.start_incarnation(service, clock_offset).await;
+        self.is_starting.set(false);
+        result
+    }
+
+    async fn start_incarnation(
+        &self,
+        service: &str,
+        clock_offset: Duration,
+    ) -> std::io::Result<()> {
         let socket = Rc::new(self.bind_socket().await?);
         let health_listener = TcpListener::bind((self.address, SERVER_PORT)).await?;
         let number = *self.incarnation_count.borrow() + 1;
@@ -221,6 +238,10 @@
                 return;
             };
             let response_status = self.post_to_host(&path, body).await;
+            let pause = match response_status {
+                Some(_) => HEARTBEAT_INTERVAL,
+                None => HEARTBEAT_RETRY_DELAY,
+            };
             let is_acknowledged = response_status.is_some_and(|status| status == 200);
             if let Some(incarnation) = self.incarnation.borrow_mut().as_mut()
                 && is_acknowledged
@@ -230,7 +251,7 @@
                     .drain_acknowledged_at
                     .get_or_insert_with(Instant::now);
             }
-            sleep(HEARTBEAT_INTERVAL).await;
+            sleep(pause).await;
         }
     }
 
