--- a/crates/flows/tests/detour.rs
+++ b/crates/flows/tests/detour.rs
@@ -55,6 +55,7 @@
         max_pause_millis: 400,
         link_bytes_per_second: None,
         saves_flows: true,
+        learns_from_peers: false,
         sets_clocks_back: false,
         zones: 3,
         loss_per_mille: 0,
--- a/crates/flows/tests/fuzz.rs
+++ b/crates/flows/tests/fuzz.rs
@@ -59,6 +59,7 @@
         max_pause_millis: 300,
         link_bytes_per_second: None,
         saves_flows: true,
+        learns_from_peers: false,
         sets_clocks_back: true,
         zones: 1,
         loss_per_mille: random.random_range(0..=5),
@@ -75,6 +76,7 @@
     }
     add_restore(seed, &mut plan);
     add_clock_jump(seed, &mut plan);
+    plan.learns_from_peers = seed % 2 == 1;
     plan
 }
 
--- a/crates/flows/tests/heavy.rs
+++ b/crates/flows/tests/heavy.rs
@@ -56,6 +56,7 @@
         max_pause_millis: 200,
         link_bytes_per_second: None,
         saves_flows: false,
+        learns_from_peers: false,
         sets_clocks_back: false,
         zones: 1,
         loss_per_mille: 0,
--- a/crates/flows/tests/model/oracle.rs
+++ b/crates/flows/tests/model/oracle.rs
@@ -110,11 +110,19 @@
         }
     }
 
+    /// Records that a server got an opening packet although no routes ever led to its service.
+    pub fn record_wrong_service(&mut self, flow: FlowKey, service: &str, now: u64) {
+        self.violations.push(format!(
+            "{now} ms: {} opened at a server of {service}, which no routes allow",
+            flow.caller
+        ));
+    }
+
     /// Records that a server got an opening packet although neither the newest routes nor
     /// recently replaced ones lead to its service.
-    pub fn record_wrong_service(&mut self, flow: FlowKey, service: &str, now: u64) {
+    pub fn record_outdated_service(&mut self, flow: FlowKey, service: &str, now: u64) {
         self.violations.push(format!(
-            "{now} ms: {} opened at a server of {service}",
+            "{now} ms: {} opened at a server of {service}, which only outdated routes allow",
             flow.caller
         ));
     }
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -84,6 +84,9 @@
 /// The second service, which the route is moved to and from.
 const ARCHIVE_SERVICE: &str = "archive";
 
+/// Number of balancers that the settings of a host name.
+const SEED_COUNT: u8 = 3;
+
 /// Maximum time from a change of the routes until the new ones are in force everywhere
 /// and all opening packets that were forwarded by the old ones have arrived, in
 /// milliseconds.
@@ -202,6 +205,9 @@
     pub link_bytes_per_second: Option<u64>,
     /// Whether hosts can save their open flows on the platform.
     pub saves_flows: bool,
+    /// Whether hosts start without routes and know few balancers, so that they learn both from
+    /// peers.
+    pub learns_from_peers: bool,
     /// Whether the clocks of some instances are set back between the starts of processes.
     pub sets_clocks_back: bool,
     /// Number of availability zones. Processes and callers are spread over them by their
@@ -575,7 +581,8 @@
 
     // Processes
 
-    /// Starts a process with the newest routes and an empty state.
+    /// Starts a process with an empty state, and with the newest routes unless the plan says
+    /// otherwise.
     fn start_process(&mut self, address: Ipv4Addr) {
         let now = self.time();
         self.start_count += 1;
@@ -584,13 +591,18 @@
             // The clock of the instance was set back before this start.
             started_unix_millis -= 300_000;
         }
-        let contacts: Vec<Ipv4Addr> = (1..=self.plan.balancers)
-            .map(fixture::balancer_address)
-            .collect();
+        let is_host = address.octets()[2] == 1;
+        let learns_from_peers = is_host && self.plan.learns_from_peers;
+        let contact_count = if learns_from_peers {
+            self.plan.balancers.min(SEED_COUNT)
+        } else {
+            self.plan.balancers
+        };
+        let contacts: Vec<Ipv4Addr> = (1..=contact_count).map(fixture::balancer_address).collect();
         let max_flow_age = Duration::from_secs(60);
         let zone = ZONES[usize::from(self.zone_of(address))].to_owned();
         let table = self.route_table();
-        let role = if address.octets()[2] == 2 {
+        let role = if !is_host {
             let identity = BalancerIdentity {
                 address,
                 zone,
@@ -612,7 +624,9 @@
                 follows_pace: false,
             };
             let mut host = FlowHost::new(identity, contacts, now);
-            host.set_routes(table, &mut self.outbox);
+            if !learns_from_peers {
+                host.set_routes(table, &mut self.outbox);
+            }
             ProcessRole::Host(Box::new(host))
         };
         self.outbox.clear();
@@ -863,6 +877,13 @@
             .any(|(_, allowed)| *allowed == service)
     }
 
+    /// Returns whether the route has ever led to a service.
+    fn was_service_ever_allowed(&self, service: &str) -> bool {
+        self.route_versions
+            .iter()
+            .any(|(_, allowed)| *allowed == service)
+    }
+
     /// Installs the newest routes in a process.
     fn receive_routes(&mut self, address: Ipv4Addr) {
         let until = self.processes[&address].frozen_until;
--- a/crates/flows/tests/model/world/servers.rs
+++ b/crates/flows/tests/model/world/servers.rs
@@ -191,9 +191,12 @@
             }
             self.oracle.record_owner_packet(*flow, millis);
             let service = self.service_of(host);
-            if !self.is_service_allowed(service) && self.is_undisturbed(fixture::host_address(host))
-            {
+            if !self.was_service_ever_allowed(service) {
                 self.oracle.record_wrong_service(*flow, service, millis);
+            } else if !self.is_service_allowed(service)
+                && self.is_undisturbed(fixture::host_address(host))
+            {
+                self.oracle.record_outdated_service(*flow, service, millis);
             }
             return;
         }
--- a/crates/flows/tests/outage.rs
+++ b/crates/flows/tests/outage.rs
@@ -37,6 +37,7 @@
         max_pause_millis: 600,
         link_bytes_per_second: Some(LINK_BYTES_PER_SECOND),
         saves_flows: true,
+        learns_from_peers: false,
         sets_clocks_back: false,
         zones: 1,
         loss_per_mille: 0,
--- /dev/null
+++ b/crates/flows/tests/reused_address.rs
@@ -0,0 +1,74 @@
+//! A fleet in which instances end and their addresses go to another service.
+
+mod fixture;
+mod model;
+
+use expect_test::expect;
+
+use crate::model::world::Fault;
+use crate::model::world::PlacingPolicy;
+use crate::model::world::World;
+use crate::model::world::WorldPlan;
+
+/// Number of instances whose addresses are reused.
+const REUSED_COUNT: u8 = 14;
+
+/// Number of runs, each with another seed.
+const RUN_COUNT: u64 = 12;
+
+/// Returns the plan of a fleet of 76 processes in which a part of the instances of the route's
+/// service end at the same time, and their addresses are reused by the other service.
+fn reuse_plan() -> WorldPlan {
+    WorldPlan {
+        balancers: 21,
+        hosts: 55,
+        callers: 250,
+        slots: 2,
+        work_micros: (5_000, 40_000),
+        cold_percent: 100,
+        slow_hosts: 0,
+        failing_hosts: 0,
+        policy: PlacingPolicy::Product,
+        burst: None,
+        max_pause_millis: 300,
+        link_bytes_per_second: None,
+        saves_flows: true,
+        learns_from_peers: true,
+        sets_clocks_back: false,
+        zones: 1,
+        loss_per_mille: 2,
+        doubled_per_mille: 0,
+        faults: (1..=REUSED_COUNT)
+            .map(|host| (5_000, Fault::ReuseAddress(host)))
+            .collect(),
+        duration_millis: 10_000,
+        has_archive_service: true,
+        moves_most_flows: false,
+    }
+}
+
+// With 55 hosts, balancers offer flows to a silent host for longer than its address stays unused,
+// and the next process at the address had no routes that forbid them.
+#[test]
+fn no_flow_reaches_the_next_service_at_a_reused_address() {
+    let mut failures = Vec::new();
+    for seed in 1..=RUN_COUNT {
+        let mut world = World::new(reuse_plan(), seed);
+        world.run();
+        let violations = world.oracle.violations();
+        failures.extend(violations.iter().map(|text| format!("seed {seed}: {text}")));
+    }
+    expect!["0 violations"].assert_eq(
+        format!(
+            "{} violations\n{}",
+            failures.len(),
+            failures
+                .iter()
+                .take(3)
+                .cloned()
+                .collect::<Vec<_>>()
+                .join("\n")
+        )
+        .trim_end(),
+    );
+}
