--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use hyssopstair_soak::plan::FleetSize;
 use hyssopstair_soak::plan::SoakPlan;
 use hyssopstair_soak::program::SoakPrograms;
 use hyssopstair_soak::run::SoakOptions;
@@ -24,6 +25,9 @@
     /// number of processes, balancers and hosts together
     #[argh(option, default = "10")]
     processes: u16,
+    /// number of balancers among them, a third if not given
+    #[argh(option)]
+    balancers: Option<u16>,
     /// path of the hyssopstaird program
     #[argh(option)]
     program: PathBuf,
@@ -38,7 +42,8 @@
 
 fn main() -> ExitCode {
     let args: SoakArgs = argh::from_env();
-    let mut plan = SoakPlan::from_seed(args.seed, args.minutes, args.processes);
+    let size = FleetSize::from_processes(args.processes, args.balancers);
+    let mut plan = SoakPlan::from_seed(args.seed, args.minutes, size);
     if args.former_program.is_some() {
         plan = plan.with_upgrade();
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -137,6 +137,29 @@
     pub event: SoakEvent,
 }
 
+/// The number of processes of each role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Number of balancers, two or more.
+    pub balancer_count: usize,
+    /// Number of hosts, three or more.
+    pub host_count: usize,
+}
+
+impl FleetSize {
+    /// Divides processes into balancers and hosts, with this number of balancers if it is given.
+    pub fn from_processes(process_count: u16, balancer_count: Option<u16>) -> Self {
+        let balancer_count = balancer_count.unwrap_or(process_count / PROCESSES_PER_BALANCER);
+        let balancer_count = usize::from(balancer_count.max(2));
+        Self {
+            balancer_count,
+            host_count: usize::from(process_count)
+                .saturating_sub(balancer_count)
+                .max(3),
+        }
+    }
+}
+
 /// The plan of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SoakPlan {
@@ -158,12 +181,12 @@
 impl SoakPlan {
     /// Creates the plan of a run that takes at least 0.3 minutes and has at least two
     /// balancers and three hosts.
-    pub fn from_seed(seed: u64, minutes: f64, process_count: u16) -> Self {
+    pub fn from_seed(seed: u64, minutes: f64, size: FleetSize) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
-        let balancer_count = usize::from((process_count / PROCESSES_PER_BALANCER).max(2));
-        let host_count = usize::from(process_count)
-            .saturating_sub(balancer_count)
-            .max(3);
+        let FleetSize {
+            balancer_count,
+            host_count,
+        } = size;
         let run_time = Duration::from_secs_f64(minutes.max(0.3) * 60.0);
         let uses_modulo_hashing = random.random_bool(0.4);
         let mut events = Vec::new();
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use expect_test::expect;
+use hyssopstair_soak::plan::FleetSize;
 use hyssopstair_soak::plan::SoakEvent;
 use hyssopstair_soak::plan::SoakPlan;
 use hyssopstair_soak::program::SoakPrograms;
@@ -26,7 +27,11 @@
         },
         directory: directory.join(format!("soak-{}-{seed}", std::process::id())),
     };
-    let plan = SoakPlan::from_seed(seed, minutes, process_count);
+    let plan = SoakPlan::from_seed(
+        seed,
+        minutes,
+        FleetSize::from_processes(process_count, None),
+    );
     let report = run_plan(&plan, &options).expect("failed to execute the run");
     println!("{}", report.to_json_line());
     report.findings
@@ -64,7 +69,7 @@
 
 #[test]
 fn an_upgrade_replaces_half_steps_back_and_then_replaces_all() {
-    let plan = SoakPlan::from_seed(9, 0.35, 5).with_upgrade();
+    let plan = SoakPlan::from_seed(9, 0.35, FleetSize::from_processes(5, None)).with_upgrade();
     let replacements: Vec<String> = plan
         .events
         .iter()
@@ -86,7 +91,7 @@
 
 #[test]
 fn plan_of_a_seed_is_stable() {
-    let plan = SoakPlan::from_seed(9, 0.35, 8);
+    let plan = SoakPlan::from_seed(9, 0.35, FleetSize::from_processes(8, None));
     let events: Vec<String> = plan
         .events
         .iter()
