--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -13,6 +13,7 @@
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::FlowKey;
 use hyssopstair_wire::carried::ForwardPurpose;
+use hyssopstair_wire::carried::PeerVersion;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::balancer::FlowBalancer;
@@ -182,7 +183,15 @@
             next: next_hosts.iter().copied().collect(),
             ..self.build_forward_header(ForwardPurpose::Open)
         };
-        outbox.enqueue_message(first_host, &CarryMessage::Forward(header), &new_flow.bytes);
+        let message = if self.understand_offers(&candidates) {
+            CarryMessage::Offer {
+                header,
+                service: route_match.service.clone(),
+            }
+        } else {
+            CarryMessage::Forward(header)
+        };
+        outbox.enqueue_message(first_host, &message, &new_flow.bytes);
         self.openings.push(PendingOpening {
             flow: new_flow.flow,
             first_host,
@@ -197,6 +206,14 @@
         });
     }
 
+    /// Returns whether all of these hosts understand [`CarryMessage::Offer`].
+    fn understand_offers(&self, hosts: &[Ipv4Addr]) -> bool {
+        hosts.iter().all(|host| {
+            let record = self.members.host(*host);
+            record.is_some_and(|record| record.peer.version >= PeerVersion::OFFERS)
+        })
+    }
+
     /// Offers flows to other hosts if no host has accepted them in time. After the last
     /// attempt, drops the pending opening once the caller no longer retransmits.
     pub(super) fn retry_expired_offers(&mut self, now: MonotonicTime, outbox: &mut FlowOutbox) {
--- a/crates/flows/src/balancer/peers.rs
+++ b/crates/flows/src/balancer/peers.rs
@@ -144,6 +144,7 @@
                 self.queue_save(request, now, outbox);
             }
             CarryMessage::Forward(_)
+            | CarryMessage::Offer { .. }
             | CarryMessage::Locate { .. }
             | CarryMessage::Detour { .. }
             | CarryMessage::FlowsSaved { .. } => outbox.record_event(FlowEvent::Dropped {
--- a/crates/flows/src/detour.rs
+++ b/crates/flows/src/detour.rs
@@ -119,7 +119,8 @@
         | CarryMessage::RoutesPart { .. }
         | CarryMessage::SaveFlows { .. }
         | CarryMessage::FlowsSaved { .. }
-        | CarryMessage::Detour { .. } => false,
+        | CarryMessage::Detour { .. }
+        | CarryMessage::Offer { .. } => false,
     }
 }
 
--- a/crates/flows/src/event.rs
+++ b/crates/flows/src/event.rs
@@ -8,6 +8,8 @@
 use hyssopstair_wire::carried::StoreEra;
 
 use crate::heartbeat::IgnoreReason;
+use crate::opening_gate::OpeningDenial;
+use crate::opening_gate::OpeningPermit;
 use crate::store_position::StorePosition;
 
 /// An event that is logged and counted.
@@ -49,6 +51,8 @@
         flow: FlowKey,
         /// The balancer that forwarded it.
         balancer: Ipv4Addr,
+        /// Why it was allowed.
+        permit: OpeningPermit,
         /// Name of the service of the server.
         service: String,
         /// Time since the newest heartbeat of the server, in milliseconds; `None` before the
@@ -61,6 +65,24 @@
         /// Requests in progress at the server.
         in_progress: u16,
     },
+    /// A host did not deliver the opening packet of a new flow, because it may be for another
+    /// service than that of the server.
+    Denied {
+        /// The flow.
+        flow: FlowKey,
+        /// The balancer that forwarded it.
+        balancer: Ipv4Addr,
+        /// Why it was not delivered.
+        denial: OpeningDenial,
+        /// Name of the service of the server.
+        service: String,
+        /// Name of the service that the packet is for, if its sender has said.
+        offered_service: Option<String>,
+        /// Version of the routes of the host; 0 if it has none.
+        routes: u64,
+        /// Version of the routes of the balancer.
+        balancer_routes: u64,
+    },
     /// A balancer refused a flow before it opened.
     Refused {
         /// The flow.
@@ -261,6 +283,8 @@
     PassedOn,
     /// New flows delivered to the backend server.
     Offered,
+    /// New flows that a host did not deliver because of the service.
+    Denied,
     /// Flows refused before they opened.
     Refused,
     /// Open flows reset.
@@ -311,10 +335,11 @@
 
 impl EventKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::Placed,
         Self::PassedOn,
         Self::Offered,
+        Self::Denied,
         Self::Refused,
         Self::Broken,
         Self::Searching,
@@ -346,6 +371,7 @@
             Self::Placed => "hyssopstair.flow.placed",
             Self::PassedOn => "hyssopstair.flow.passed_on",
             Self::Offered => "hyssopstair.flow.offered",
+            Self::Denied => "hyssopstair.flow.denied",
             Self::Refused => "hyssopstair.flow.refused",
             Self::Broken => "hyssopstair.flow.broken",
             Self::Searching => "hyssopstair.flow.searches",
@@ -378,6 +404,7 @@
             Self::Placed => "New flows sent to hosts",
             Self::PassedOn => "New flows passed on to other hosts",
             Self::Offered => "New flows delivered to the backend server",
+            Self::Denied => "New flows not delivered because of the service of the server",
             Self::Refused => "Flows refused before they opened",
             Self::Broken => "Open flows reset",
             Self::Searching => "Searches for the host of a flow",
@@ -414,6 +441,7 @@
             Self::Placed { .. } => EventKind::Placed,
             Self::PassedOn { .. } => EventKind::PassedOn,
             Self::Offered { .. } => EventKind::Offered,
+            Self::Denied { .. } => EventKind::Denied,
             Self::Refused { .. } => EventKind::Refused,
             Self::Broken { .. } => EventKind::Broken,
             Self::Searching { .. } => EventKind::Searching,
--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -34,6 +34,7 @@
 use crate::event::FlowEvent;
 use crate::host::cold::ColdLimiter;
 use crate::host::load::LoadMeter;
+use crate::host::opening::FlowOffer;
 use crate::host::records::FlowRecord;
 use crate::host::saved_flows::SavedFlowState;
 pub use crate::host::server::CheckResult;
@@ -223,7 +224,8 @@
         }
         match header.purpose {
             ForwardPurpose::Open | ForwardPurpose::OpenHere => {
-                self.receive_opening_packet(header, packet, now, outbox);
+                let offer = FlowOffer::unnamed(header);
+                self.receive_opening_packet(&offer, packet, now, outbox);
             }
             ForwardPurpose::Owner | ForwardPurpose::Probe => {
                 self.receive_established_packet(header, packet, now, outbox);
@@ -231,6 +233,21 @@
         }
     }
 
+    /// Handles the opening packet of a flow that a balancer or another host offers for `service`.
+    pub fn receive_offered_packet(
+        &mut self,
+        header: &CarryHeader,
+        service: &str,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        if packet.header.opens_flow() {
+            let offer = FlowOffer::for_service(header, service);
+            self.receive_opening_packet(&offer, packet, now, outbox);
+        }
+    }
+
     /// Handles a packet from the server. The packet is either addressed to a caller, or is
     /// a caller's packet that the server returns because it does not accept it.
     pub fn receive_server_packet(
--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -19,21 +19,70 @@
 use crate::host::FlowHost;
 use crate::host::records::FlowPhase;
 use crate::host::records::FlowRecord;
+use crate::opening_gate::OpeningClaim;
+use crate::opening_gate::OpeningDenial;
+use crate::opening_gate::OpeningPermit;
+use crate::opening_gate::check_opening;
 use crate::outbox::FlowOutbox;
 use crate::packet::RawPacket;
 
 /// Assumed number of slots of a server before its first heartbeat.
 const DEFAULT_SLOTS: u16 = 2;
 
+/// An opening packet's header, and what its sender says about the service.
+#[derive(Debug, Clone)]
+pub(super) struct FlowOffer {
+    pub(super) header: CarryHeader,
+    /// The service that the packet is for; `None` if the sender does not say.
+    service: Option<String>,
+}
+
+impl FlowOffer {
+    /// Creates an offer of a sender that names no service.
+    pub(super) fn unnamed(header: &CarryHeader) -> Self {
+        Self {
+            header: header.clone(),
+            service: None,
+        }
+    }
+
+    /// Creates an offer for a service.
+    pub(super) fn for_service(header: &CarryHeader, service: &str) -> Self {
+        Self {
+            header: header.clone(),
+            service: Some(service.to_owned()),
+        }
+    }
+
+    fn claim(&self) -> OpeningClaim<'_> {
+        OpeningClaim {
+            service: self.service.as_deref(),
+            routes: self.header.routes,
+        }
+    }
+
+    fn into_message(self) -> CarryMessage {
+        match self.service {
+            Some(service) => CarryMessage::Offer {
+                header: self.header,
+                service,
+            },
+            None => CarryMessage::Forward(self.header),
+        }
+    }
+}
+
 /// The decision of a host about a new flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OpeningVerdict {
     /// The server has a free slot.
-    Accept,
-    /// All slots are taken; the value is the number of requests in progress.
-    Queue(u16),
+    Accept(OpeningPermit),
+    /// All slots are taken; the number is that of the requests in progress.
+    Queue(OpeningPermit, u16),
     /// The server must not get the flow.
     Reject,
+    /// The flow may be for another service.
+    Deny(OpeningDenial),
     /// Operators have emptied the zone of the server.
     KeepAway,
     /// The server is cold, and has got as many new flows as it bears.
@@ -44,12 +93,13 @@
     /// Accepts the opening packet of a flow or passes it on.
     pub(super) fn receive_opening_packet(
         &mut self,
-        header: &CarryHeader,
+        offer: &FlowOffer,
         packet: &RawPacket<'_>,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
         let flow = packet.header.caller_flow();
+        let balancer = offer.header.balancer;
         if self.has_pending_opening(&flow) {
             self.deliver_packet(&flow, packet, now, outbox);
             return;
@@ -61,34 +111,53 @@
             });
             return;
         }
-        let verdict = self.evaluate_opening(header, &flow, now);
-        let mut next_header = header.clone();
-        match verdict {
-            OpeningVerdict::Cold => {
-                outbox.record_event(FlowEvent::ColdLimited { flow });
-                self.forward_to_next_host(next_header, packet, now, outbox);
+        let mut next_offer = offer.clone();
+        match self.evaluate_opening(offer, &flow, now) {
+            OpeningVerdict::Accept(permit) => {
+                self.accept_flow(next_offer, permit, packet, now, outbox);
+                return;
             }
-            OpeningVerdict::KeepAway => {
-                outbox.record_event(FlowEvent::KeptAway {
-                    flow,
-                    balancer: header.balancer,
-                });
-                self.forward_to_next_host(next_header, packet, now, outbox);
+            OpeningVerdict::Queue(permit, request_count) => {
+                let least = next_offer.header.best.map(|(_, least_count)| least_count);
+                let is_least = least.is_none_or(|least_count| request_count < least_count);
+                let is_last = next_offer.header.next.is_empty();
+                if offer.header.purpose == ForwardPurpose::OpenHere || (is_least && is_last) {
+                    self.accept_flow(next_offer, permit, packet, now, outbox);
+                    return;
+                }
+                if is_least {
+                    next_offer.header.best = Some((self.identity.address, request_count));
+                }
             }
-            OpeningVerdict::Accept => self.accept_flow(header, packet, now, outbox),
-            OpeningVerdict::Queue(_) if header.purpose == ForwardPurpose::OpenHere => {
-                self.accept_flow(header, packet, now, outbox);
+            OpeningVerdict::Reject => {}
+            OpeningVerdict::Deny(denial) => {
+                outbox.record_event(self.describe_denial(offer, flow, denial));
+                // The host does not wait for the next hello of the balancer.
+                let routes = offer.header.routes;
+                self.routes.request_newer(balancer, routes, now, outbox);
             }
-            OpeningVerdict::Queue(request_count) => {
-                if next_header
-                    .best
-                    .is_none_or(|(_, least_count)| request_count < least_count)
-                {
-                    next_header.best = Some((self.identity.address, request_count));
-                }
-                self.forward_to_next_host(next_header, packet, now, outbox);
+            OpeningVerdict::Cold => outbox.record_event(FlowEvent::ColdLimited { flow }),
+            OpeningVerdict::KeepAway => {
+                outbox.record_event(FlowEvent::KeptAway { flow, balancer });
             }
-            OpeningVerdict::Reject => self.forward_to_next_host(next_header, packet, now, outbox),
+        }
+        self.forward_to_next_host(next_offer, packet, now, outbox);
+    }
+
+    fn describe_denial(
+        &self,
+        offer: &FlowOffer,
+        flow: FlowKey,
+        denial: OpeningDenial,
+    ) -> FlowEvent {
+        FlowEvent::Denied {
+            flow,
+            balancer: offer.header.balancer,
+            denial,
+            service: self.identity.service.clone(),
+            offered_service: offer.service.clone(),
+            routes: self.routes.table().version(),
+            balancer_routes: offer.header.routes,
         }
     }
 
@@ -108,15 +177,12 @@
         if record.phase != FlowPhase::Offered || record.server_start.is_some() {
             return;
         }
-        let forward_header = record.forward_header.take();
+        let offer = record.offer.take();
         let offered_at = record.offered_at;
         self.flows.remove(&flow);
         self.load.remove_offer(offered_at);
-        if let Some(mut forward_header) = forward_header {
-            forward_header
-                .best
-                .take_if(|(host, _)| *host == self.identity.address);
-            self.forward_to_next_host(*forward_header, packet, now, outbox);
+        if let Some(offer) = offer {
+            self.forward_to_next_host(*offer, packet, now, outbox);
         }
     }
 
@@ -142,7 +208,7 @@
     /// Decides about a new flow by the state of the server, the routes and the load.
     fn evaluate_opening(
         &mut self,
-        header: &CarryHeader,
+        offer: &FlowOffer,
         flow: &FlowKey,
         now: MonotonicTime,
     ) -> OpeningVerdict {
@@ -152,18 +218,11 @@
         if self.evacuation.contains(&self.identity.zone) {
             return OpeningVerdict::KeepAway;
         }
-        // If the balancer has newer routes, its decision is not checked: this host may not
-        // have received the route yet.
-        if self.routes.table().version() >= header.routes && self.routes.table().version() > 0 {
-            let is_allowed = self
-                .routes
-                .table()
-                .route(flow.target)
-                .is_some_and(|route| route.allows(&self.identity.service));
-            if !is_allowed {
-                return OpeningVerdict::Reject;
-            }
-        }
+        let (table, service) = (self.routes.table(), &self.identity.service);
+        let permit = match check_opening(table, service, flow.target, offer.claim()) {
+            Ok(permit) => permit,
+            Err(denial) => return OpeningVerdict::Deny(denial),
+        };
         let cold_terms = self.routes.table().cold_terms(&self.identity.service);
         if !self.cold.admits(cold_terms, now) {
             return OpeningVerdict::Cold;
@@ -175,9 +234,9 @@
         let target_latency = self.routes.table().target_latency(flow.target);
         let limit = self.load.limit_within(self.slots(), target_latency);
         if request_count < self.slots().min(limit) {
-            OpeningVerdict::Accept
+            OpeningVerdict::Accept(permit)
         } else if request_count < limit {
-            OpeningVerdict::Queue(request_count)
+            OpeningVerdict::Queue(permit, request_count)
         } else {
             OpeningVerdict::Reject
         }
@@ -186,74 +245,71 @@
     /// Records a new flow and delivers its opening packet to the server.
     fn accept_flow(
         &mut self,
-        header: &CarryHeader,
+        offer: FlowOffer,
+        permit: OpeningPermit,
         packet: &RawPacket<'_>,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
         let flow = packet.header.caller_flow();
+        let (balancer, balancer_routes) = (offer.header.balancer, offer.header.routes);
         // An earlier flow with the same endpoints has been given up by the caller.
         self.set_phase(&flow, FlowPhase::Closed);
-        self.flows.insert(
-            flow,
-            FlowRecord::offered(header.clone(), &packet.header, now),
-        );
+        let record = FlowRecord::offered(offer, &packet.header, now);
+        self.flows.insert(flow, record);
         self.load.add_offer(now);
         let cold_terms = self.routes.table().cold_terms(&self.identity.service);
         self.cold.record_delivery(cold_terms, now);
         outbox.record_event(FlowEvent::Offered {
             flow,
-            balancer: header.balancer,
+            balancer,
+            permit,
             service: self.identity.service.clone(),
             heartbeat_age_millis: self.heartbeat_age_millis(now),
             routes: self.routes.table().version(),
-            balancer_routes: header.routes,
+            balancer_routes,
             in_progress: self.load.in_progress(now),
         });
         self.deliver_packet(&flow, packet, now, outbox);
     }
 
-    /// Passes the flow on to the next candidate, or assigns it if there is none.
+    /// Passes the flow on to the next candidate, or to the least busy one if all were tried.
     fn forward_to_next_host(
-        &mut self,
-        mut header: CarryHeader,
+        &self,
+        mut offer: FlowOffer,
         packet: &RawPacket<'_>,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        if header.next.is_empty() {
-            self.assign_to_least_busy(header, packet, now, outbox);
+        if offer.header.next.is_empty() {
+            self.assign_to_least_busy(offer, packet, now, outbox);
             return;
         }
-        let host = header.next.remove(0);
-        self.forward_to_host(host, header, packet, now, outbox);
+        let host = offer.header.next.remove(0);
+        self.forward_to_host(host, offer, packet, now, outbox);
     }
 
-    /// Assigns the flow to the least busy candidate, because none has a free slot. If all
-    /// have rejected it, the packet is returned to the balancer.
+    /// Assigns the flow to the least busy of the other candidates, because none has a free slot.
+    /// If all have rejected it, the packet is returned to the balancer.
     fn assign_to_least_busy(
-        &mut self,
-        mut header: CarryHeader,
+        &self,
+        mut offer: FlowOffer,
         packet: &RawPacket<'_>,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        match header.best {
-            Some((host, _)) if host == self.identity.address => {
-                self.accept_flow(&header, packet, now, outbox);
-            }
-            Some((host, _)) => {
-                header.purpose = ForwardPurpose::OpenHere;
-                // If that host no longer has capacity, the packet is returned to the
-                // balancer, which chooses other candidates.
-                header.best = None;
-                self.forward_to_host(host, header, packet, now, outbox);
+        // If that host no longer has capacity, the packet is returned to the balancer, which
+        // chooses other candidates.
+        match offer.header.best.take() {
+            Some((host, _)) if host != self.identity.address => {
+                offer.header.purpose = ForwardPurpose::OpenHere;
+                self.forward_to_host(host, offer, packet, now, outbox);
             }
-            None => {
+            _ => {
                 let message = CarryMessage::Returned {
-                    purpose: header.purpose,
+                    purpose: offer.header.purpose,
                 };
-                outbox.enqueue_message(header.balancer, &message, packet.bytes);
+                outbox.enqueue_message(offer.header.balancer, &message, packet.bytes);
             }
         }
     }
@@ -262,7 +318,7 @@
     fn forward_to_host(
         &self,
         host: Ipv4Addr,
-        header: CarryHeader,
+        offer: FlowOffer,
         packet: &RawPacket<'_>,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
@@ -273,6 +329,6 @@
             server: self.server.state(),
             in_progress: self.load.in_progress(now),
         });
-        outbox.enqueue_message(host, &CarryMessage::Forward(header), packet.bytes);
+        outbox.enqueue_message(host, &offer.into_message(), packet.bytes);
     }
 }
--- a/crates/flows/src/host/ownership.rs
+++ b/crates/flows/src/host/ownership.rs
@@ -12,6 +12,7 @@
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::host::FlowHost;
+use crate::host::opening::FlowOffer;
 use crate::host::records::FlowPhase;
 use crate::host::records::FlowRecord;
 use crate::outbox::FlowOutbox;
@@ -59,7 +60,7 @@
             }
             FlowPhase::Probed => {
                 // The balancer that asked last gets the result of the probe.
-                record.forward_header = Some(Box::new(header.clone()));
+                record.offer = Some(Box::new(FlowOffer::unnamed(header)));
             }
             FlowPhase::Offered | FlowPhase::Open | FlowPhase::Closed => {}
         }
@@ -85,8 +86,7 @@
             return;
         }
         let flow = packet.header.caller_flow();
-        self.flows
-            .insert(flow, FlowRecord::probed(header.clone(), now));
+        self.flows.insert(flow, FlowRecord::probed(header, now));
         self.deliver_packet(&flow, packet, now, outbox);
     }
 
--- a/crates/flows/src/host/peers.rs
+++ b/crates/flows/src/host/peers.rs
@@ -92,6 +92,11 @@
                     self.receive_forwarded_packet(header, packet, now, outbox);
                 }
             }
+            CarryMessage::Offer { header, service } => {
+                if let Some(packet) = packet {
+                    self.receive_offered_packet(header, service, packet, now, outbox);
+                }
+            }
             CarryMessage::Locate { questions } => {
                 self.answer_questions(from, questions, now, outbox);
             }
--- a/crates/flows/src/host/records.rs
+++ b/crates/flows/src/host/records.rs
@@ -17,6 +17,7 @@
 use crate::host::FlowHost;
 use crate::host::SHARDS_PER_TICK;
 use crate::host::load::LoadMeter;
+use crate::host::opening::FlowOffer;
 use crate::outbox::FlowOutbox;
 use crate::packet::PacketHeader;
 
@@ -78,35 +79,31 @@
     pub(super) delivered_end: Option<u32>,
     /// When the request that is in progress was delivered to the server.
     pub(super) request_started_at: Option<MonotonicTime>,
-    /// The header with which the opening packet, or the last packet that probes the server,
-    /// was forwarded. It is needed if the server does not accept the packet.
-    pub(super) forward_header: Option<Box<CarryHeader>>,
+    /// The offer with which the opening packet, or the last packet that probes the server, was
+    /// forwarded. It is needed if the server does not accept the packet.
+    pub(super) offer: Option<Box<FlowOffer>>,
     is_caller_closed: bool,
     is_server_closed: bool,
 }
 
 impl FlowRecord {
     /// Creates the record of a flow whose opening packet is delivered to the server.
-    pub(super) fn offered(
-        forward_header: CarryHeader,
-        opening: &PacketHeader,
-        now: MonotonicTime,
-    ) -> Self {
+    pub(super) fn offered(offer: FlowOffer, opening: &PacketHeader, now: MonotonicTime) -> Self {
         Self {
             phase: FlowPhase::Offered,
             caller_start: Some(opening.sequence),
-            balancer: forward_header.balancer,
-            forward_header: Some(Box::new(forward_header)),
+            balancer: offer.header.balancer,
+            offer: Some(Box::new(offer)),
             ..Self::observed(now)
         }
     }
 
     /// Creates the record of a flow that the server may hold and that it is probed for.
-    pub(super) fn probed(forward_header: CarryHeader, now: MonotonicTime) -> Self {
+    pub(super) fn probed(header: &CarryHeader, now: MonotonicTime) -> Self {
         Self {
             phase: FlowPhase::Probed,
-            balancer: forward_header.balancer,
-            forward_header: Some(Box::new(forward_header)),
+            balancer: header.balancer,
+            offer: Some(Box::new(FlowOffer::unnamed(header))),
             ..Self::observed(now)
         }
     }
@@ -123,7 +120,7 @@
             server_start: None,
             delivered_end: None,
             request_started_at: None,
-            forward_header: None,
+            offer: None,
             is_caller_closed: false,
             is_server_closed: false,
         }
--- a/crates/flows/src/host/tracking.rs
+++ b/crates/flows/src/host/tracking.rs
@@ -143,10 +143,10 @@
         };
         match record.phase {
             FlowPhase::Probed => {
-                let header = record.forward_header.take();
+                let offer = record.offer.take();
                 self.set_phase(&flow, FlowPhase::Absent);
-                if let Some(header) = header {
-                    self.decline_packet(&header, packet, now, outbox);
+                if let Some(offer) = offer {
+                    self.decline_packet(&offer.header, packet, now, outbox);
                 }
             }
             FlowPhase::Open => {
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod holding;
 pub mod host;
 pub mod members;
+pub mod opening_gate;
 pub mod outbox;
 pub mod packet;
 pub mod placing;
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -1036,7 +1036,7 @@
 fn carries_packet(message: &CarryMessage) -> bool {
     matches!(
         message,
-        CarryMessage::Forward(_) | CarryMessage::Returned { .. }
+        CarryMessage::Forward(_) | CarryMessage::Offer { .. } | CarryMessage::Returned { .. }
     )
 }
 
--- a/crates/hyssopstaird/src/carry/journal.rs
+++ b/crates/hyssopstaird/src/carry/journal.rs
@@ -208,6 +208,7 @@
         FlowEvent::Offered {
             flow,
             balancer,
+            permit,
             service,
             heartbeat_age_millis,
             routes,
@@ -217,9 +218,27 @@
             "host",
             "delivered a new flow to the server",
             json!({
-                "flow": format_flow(flow), "balancer": balancer, "service": shorten_name(service),
-                "heartbeat_age_ms": heartbeat_age_millis, "routes": routes,
-                "balancer_routes": balancer_routes, "in_progress": in_progress,
+                "flow": format_flow(flow), "balancer": balancer, "permit": format!("{permit:?}"),
+                "service": shorten_name(service), "heartbeat_age_ms": heartbeat_age_millis,
+                "routes": routes, "balancer_routes": balancer_routes, "in_progress": in_progress,
+            }),
+        ),
+        FlowEvent::Denied {
+            flow,
+            balancer,
+            denial,
+            service,
+            offered_service,
+            routes,
+            balancer_routes,
+        } => (
+            "host",
+            "did not deliver a new flow that may be for another service",
+            json!({
+                "flow": format_flow(flow), "balancer": balancer, "denial": format!("{denial:?}"),
+                "service": shorten_name(service),
+                "offered_service": offered_service.as_deref().map(shorten_name),
+                "routes": routes, "balancer_routes": balancer_routes,
             }),
         ),
         FlowEvent::Refused {
--- a/crates/wire/src/carried.rs
+++ b/crates/wire/src/carried.rs
@@ -175,8 +175,10 @@
     pub const UNNAMED: Self = Self(1);
     /// Adds [`CarryMessage::Detour`].
     pub const DETOURS: Self = Self(2);
+    /// Adds [`CarryMessage::Offer`].
+    pub const OFFERS: Self = Self(3);
     /// The newest version that this build understands.
-    pub const CURRENT: Self = Self::DETOURS;
+    pub const CURRENT: Self = Self::OFFERS;
 }
 
 impl Default for PeerVersion {
@@ -344,10 +346,19 @@
         /// The process that the message is for.
         target: Ipv4Addr,
     },
+    /// Forwards the opening packet that follows the message to a host, like
+    /// [`CarryMessage::Forward`], and names the service that it is for. Only processes that name
+    /// [`PeerVersion::OFFERS`] understand it, and so must all candidates.
+    Offer {
+        /// The header, whose purpose is to open a flow.
+        header: CarryHeader,
+        /// The service that the balancer's routes select for the flow.
+        service: String,
+    },
 }
 
 /// Number of kinds of messages that this build knows.
-const MESSAGE_KIND_COUNT: u32 = 12;
+const MESSAGE_KIND_COUNT: u32 = 13;
 
 /// What a datagram of a peer holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/wire/tests/released_messages.rs
+++ b/crates/wire/tests/released_messages.rs
@@ -27,9 +27,10 @@
 use hyssopstair_wire::carried::ServerState;
 
 /// The messages of the versions that this build must understand.
-const RELEASED: [&str; 2] = [
+const RELEASED: [&str; 3] = [
     include_str!("released/version-1.txt"),
     include_str!("released/version-2.txt"),
+    include_str!("released/version-3.txt"),
 ];
 
 fn flow(port: u16) -> FlowKey {
@@ -156,6 +157,20 @@
     }]
 }
 
+/// Returns the messages that version 3 adds.
+fn messages_of_version_3() -> Vec<CarryMessage> {
+    vec![CarryMessage::Offer {
+        header: CarryHeader {
+            purpose: ForwardPurpose::Open,
+            balancer: address(1),
+            routes: 17,
+            best: Some((address(2), 5)),
+            next: [address(3), address(4)].into_iter().collect(),
+        },
+        service: "lessons".to_owned(),
+    }]
+}
+
 fn to_hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -184,6 +199,7 @@
 fn messages_are_encoded_as_released() {
     expect_file!["released/version-1.txt"].assert_eq(&describe(&messages_of_version_1()));
     expect_file!["released/version-2.txt"].assert_eq(&describe(&messages_of_version_2()));
+    expect_file!["released/version-3.txt"].assert_eq(&describe(&messages_of_version_3()));
 }
 
 #[test]
@@ -245,7 +261,7 @@
 // A later build may add kinds of messages. They are skipped, and none is taken for another.
 #[test]
 fn a_message_of_a_later_build_is_told_from_a_malformed_one() {
-    let kind_count = 12_u8;
+    let kind_count = 13_u8;
     assert_eq!(
         CarryMessage::classify(&[kind_count, 1, 2, 3]),
         DatagramVerdict::UnknownKind(u32::from(kind_count))
