--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -76,13 +76,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OpeningVerdict {
     /// The server has a free slot.
-    Accept(OpeningPermit),
-    /// All slots are taken; the number is that of the requests in progress.
-    Queue(OpeningPermit, u16),
+    Accept,
+    /// All slots are taken; the value is the number of requests in progress.
+    Queue(u16),
     /// The server must not get the flow.
     Reject,
-    /// The flow may be for another service.
-    Deny(OpeningDenial),
     /// Operators have emptied the zone of the server.
     KeepAway,
     /// The server is cold, and has got as many new flows as it bears.
@@ -100,6 +98,18 @@
     ) {
         let flow = packet.header.caller_flow();
         let balancer = offer.header.balancer;
+        let (table, service) = (self.routes.table(), &self.identity.service);
+        let permit = match check_opening(table, service, flow.target, offer.claim()) {
+            Ok(permit) => permit,
+            Err(denial) => {
+                outbox.record_event(self.describe_denial(offer, flow, denial));
+                // The host does not wait for the next hello of the balancer.
+                let routes = offer.header.routes;
+                self.routes.request_newer(balancer, routes, now, outbox);
+                self.forward_to_next_host(offer.clone(), packet, now, outbox);
+                return;
+            }
+        };
         if self.has_pending_opening(&flow) {
             self.deliver_packet(&flow, packet, now, outbox);
             return;
@@ -112,12 +122,12 @@
             return;
         }
         let mut next_offer = offer.clone();
-        match self.evaluate_opening(offer, &flow, now) {
-            OpeningVerdict::Accept(permit) => {
+        match self.evaluate_opening(&flow, now) {
+            OpeningVerdict::Accept => {
                 self.accept_flow(next_offer, permit, packet, now, outbox);
                 return;
             }
-            OpeningVerdict::Queue(permit, request_count) => {
+            OpeningVerdict::Queue(request_count) => {
                 let least = next_offer.header.best.map(|(_, least_count)| least_count);
                 let is_least = least.is_none_or(|least_count| request_count < least_count);
                 let is_last = next_offer.header.next.is_empty();
@@ -130,12 +140,6 @@
                 }
             }
             OpeningVerdict::Reject => {}
-            OpeningVerdict::Deny(denial) => {
-                outbox.record_event(self.describe_denial(offer, flow, denial));
-                // The host does not wait for the next hello of the balancer.
-                let routes = offer.header.routes;
-                self.routes.request_newer(balancer, routes, now, outbox);
-            }
             OpeningVerdict::Cold => outbox.record_event(FlowEvent::ColdLimited { flow }),
             OpeningVerdict::KeepAway => {
                 outbox.record_event(FlowEvent::KeptAway { flow, balancer });
@@ -205,24 +209,14 @@
             .is_some_and(|record| record.phase == FlowPhase::Offered)
     }
 
-    /// Decides about a new flow by the state of the server, the routes and the load.
-    fn evaluate_opening(
-        &mut self,
-        offer: &FlowOffer,
-        flow: &FlowKey,
-        now: MonotonicTime,
-    ) -> OpeningVerdict {
+    /// Decides about a new flow by the state of the server and the load.
+    fn evaluate_opening(&mut self, flow: &FlowKey, now: MonotonicTime) -> OpeningVerdict {
         if self.server.state() != ServerState::Ready || self.is_stopping {
             return OpeningVerdict::Reject;
         }
         if self.evacuation.contains(&self.identity.zone) {
             return OpeningVerdict::KeepAway;
         }
-        let (table, service) = (self.routes.table(), &self.identity.service);
-        let permit = match check_opening(table, service, flow.target, offer.claim()) {
-            Ok(permit) => permit,
-            Err(denial) => return OpeningVerdict::Deny(denial),
-        };
         let cold_terms = self.routes.table().cold_terms(&self.identity.service);
         if !self.cold.admits(cold_terms, now) {
             return OpeningVerdict::Cold;
@@ -234,9 +228,9 @@
         let target_latency = self.routes.table().target_latency(flow.target);
         let limit = self.load.limit_within(self.slots(), target_latency);
         if request_count < self.slots().min(limit) {
-            OpeningVerdict::Accept(permit)
+            OpeningVerdict::Accept
         } else if request_count < limit {
-            OpeningVerdict::Queue(permit, request_count)
+            OpeningVerdict::Queue(request_count)
         } else {
             OpeningVerdict::Reject
         }
--- a/crates/flows/src/host/ownership.rs
+++ b/crates/flows/src/host/ownership.rs
@@ -11,6 +11,8 @@
 use hyssopstair_wire::carried::ServerState;
 use hyssopstair_wire::time::MonotonicTime;
 
+use crate::event::DropReason;
+use crate::event::FlowEvent;
 use crate::host::FlowHost;
 use crate::host::opening::FlowOffer;
 use crate::host::records::FlowPhase;
@@ -32,6 +34,10 @@
         outbox: &mut FlowOutbox,
     ) {
         let flow = packet.header.caller_flow();
+        if packet.header.opens_flow() {
+            self.return_opening(&flow, header, packet, now, outbox);
+            return;
+        }
         let is_search = header.purpose != ForwardPurpose::Owner;
         let acknowledged = packet.header.acknowledged_position();
         let Some(record) = self.flows.get_mut(&flow) else {
@@ -72,6 +78,27 @@
         self.deliver_packet(&flow, packet, now, outbox);
     }
 
+    /// Returns an opening packet that a balancer has forwarded by its flow table, so that the
+    /// balancer offers the flow anew. Only an offer names the service, and the entry may be that
+    /// of a former instance at the address.
+    fn return_opening(
+        &self,
+        flow: &FlowKey,
+        header: &CarryHeader,
+        packet: &RawPacket<'_>,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let known_record = self.flows.get(flow);
+        if known_record.is_some_and(|record| record.is_duplicate_opening(&packet.header)) {
+            outbox.record_event(FlowEvent::Dropped {
+                reason: DropReason::Repeated,
+            });
+            return;
+        }
+        self.decline_packet(header, packet, now, outbox);
+    }
+
     /// Handles a packet of a flow that is not in the table. If the server may hold the
     /// flow, the packet is delivered to it as a probe.
     pub(super) fn receive_unknown_flow(
@@ -81,7 +108,7 @@
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
     ) {
-        if !self.may_hold_unknown_flow(now) || packet.header.opens_flow() {
+        if !self.may_hold_unknown_flow(now) {
             self.decline_packet(header, packet, now, outbox);
             return;
         }
--- a/crates/flows/tests/opening_gate.rs
+++ b/crates/flows/tests/opening_gate.rs
@@ -7,6 +7,7 @@
 use hyssopstair_flows::opening_gate::OpeningClaim;
 use hyssopstair_flows::opening_gate::check_opening;
 use hyssopstair_flows::outbox::FlowOutbox;
+use hyssopstair_flows::packet::PacketHeader;
 use hyssopstair_flows::routes::RouteTable;
 use hyssopstair_wire::carried::CarryHeader;
 use hyssopstair_wire::carried::CarryMessage;
@@ -197,3 +198,34 @@
         Peer(10.0.1.1): Offer { header: CarryHeader { purpose: Open, balancer: 10.0.2.1, routes: 1, best: None, next: [10.0.1.2] }, service: "lessons" }
         Peer(10.0.1.1): Forward(CarryHeader { purpose: Open, balancer: 10.0.2.1, routes: 1, best: None, next: [10.0.1.2] })"#]].assert_eq(&lines.join("\n"));
 }
+
+// A balancer forwarded the repeated opening packet of a former server's flow by its flow table, and
+// the next process at the address took it for a packet of a flow that its server may hold.
+#[test]
+fn a_repeated_opening_packet_that_follows_a_hint_passes_the_gate() {
+    let mut lines = Vec::new();
+    for purpose in [ForwardPurpose::Owner, ForwardPurpose::Probe] {
+        let mut outbox = FlowOutbox::default();
+        let mut host = new_host(1);
+        let rules = vec![route_rule(target_address(), "archive")];
+        host.set_routes(route_table(2, rules), &mut outbox);
+        host.receive_heartbeat(&running_server_heartbeat(), at(10), &mut outbox);
+        let opening = PacketHeader {
+            acknowledged: 1,
+            ..opening_packet(4_001)
+        };
+        let reported = CarryMessage::Flows {
+            owner: host_address(1),
+            flows: vec![opening.caller_flow()],
+        };
+        let balancer = balancer_address(1);
+        host.receive_peer_message(balancer, &reported, None, &[], at(20), &mut outbox);
+        outbox.clear();
+        let header = carry_header(purpose);
+        host.receive_forwarded_packet(&header, &raw_packet(&opening), at(30), &mut outbox);
+        lines.push(take_output(&mut outbox));
+    }
+    expect![[r#"
+        Peer(10.0.2.1): Returned { purpose: Owner } + 6 bytes
+        Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: true } + 0 bytes"#]].assert_eq(&lines.join("\n"));
+}
