--- a/crates/flows/src/route_transfer.rs
+++ b/crates/flows/src/route_transfer.rs
@@ -23,7 +23,8 @@
 pub struct RouteReplica {
     table: RouteTable,
     assembly: RouteAssembly,
-    requested_at: MonotonicTime,
+    /// When routes were last requested; `None` before the first time.
+    requested_at: Option<MonotonicTime>,
 }
 
 impl RouteReplica {
@@ -81,8 +82,11 @@
         outbox: &mut FlowOutbox,
     ) {
         let known = self.table.version();
-        if version > known && now.since(self.requested_at) >= REQUEST_INTERVAL {
-            self.requested_at = now;
+        let is_recent = self
+            .requested_at
+            .is_some_and(|requested_at| now.since(requested_at) < REQUEST_INTERVAL);
+        if version > known && !is_recent {
+            self.requested_at = Some(now);
             outbox.enqueue_message(peer, &CarryMessage::RoutesWanted { known }, &[]);
         }
     }
--- a/crates/flows/tests/greeting.rs
+++ b/crates/flows/tests/greeting.rs
@@ -113,3 +113,25 @@
     expect!["[32, 32, 32, 32], 100 balancers"]
         .assert_eq(&format!("{counts:?}, {} balancers", greeted.len()));
 }
+
+// The first request was held back for 150 ms after the start of the clock, and the next hellos of a
+// large fleet come half a second later.
+#[test]
+fn a_process_that_starts_asks_for_routes_on_the_first_hello() {
+    let mut outbox = FlowOutbox::default();
+    let mut host = new_host_without_routes();
+    host.receive_peer_message(
+        balancer_address(1),
+        &balancer_hello(1),
+        None,
+        &[],
+        at(3),
+        &mut outbox,
+    );
+    let output = take_output(&mut outbox);
+    let requests: Vec<&str> = output
+        .lines()
+        .filter(|line| line.contains("RoutesWanted"))
+        .collect();
+    expect!["Peer(10.0.2.1): RoutesWanted { known: 0 } + 0 bytes"].assert_eq(&requests.join("\n"));
+}
