--- a/crates/flows/src/members.rs
+++ b/crates/flows/src/members.rs
@@ -54,6 +54,11 @@
 /// a message from it arrives before.
 const UNANSWERED_AVOIDANCE: Duration = Duration::from_secs(2);
 
+/// Time since the last hello of a host of a former build from which it gets no new flows. It does
+/// not compare the service of an offer, and its address may belong to another service 2 s after
+/// its end.
+const MAX_UNCHECKED_AGE: Duration = Duration::from_millis(1_500);
+
 /// Properties that all peers have.
 #[derive(Debug, Clone)]
 pub struct PeerRecord {
@@ -115,6 +120,14 @@
             && now.since(self.peer.last_seen_at) < timeouts.suspect_after
     }
 
+    /// Returns whether an offer for the host's service reaches a server of that service or none:
+    /// either the host checks it, or the host's address cannot have been reused since its last
+    /// hello.
+    pub fn is_service_certain(&self, now: MonotonicTime) -> bool {
+        self.peer.version >= PeerVersion::OFFERS
+            || now.since(self.peer.hello_at) < MAX_UNCHECKED_AGE
+    }
+
     /// Returns whether the host probably accepts another flow of this balancer, whose caller
     /// expects an answer within `target_latency`; zero if not known.
     pub fn may_accept(&self, target_latency: Duration, now: MonotonicTime) -> bool {
--- a/crates/flows/src/placing.rs
+++ b/crates/flows/src/placing.rs
@@ -71,9 +71,10 @@
 
 impl PlacementRequest<'_> {
     /// Returns whether the flow may be offered to a host at all.
-    fn allows(&self, record: &HostRecord) -> bool {
+    fn allows(&self, record: &HostRecord, now: MonotonicTime) -> bool {
         let peer = &record.peer;
         record.service == self.service
+            && record.is_service_certain(now)
             && !self.excluded.contains(&peer.address)
             && self.evacuated_zones.binary_search(&peer.zone).is_err()
     }
@@ -99,7 +100,7 @@
     timeouts: &MemberTimeouts,
     now: MonotonicTime,
 ) -> Placement {
-    let is_candidate = |record: &&HostRecord| request.allows(record);
+    let is_candidate = |record: &&HostRecord| request.allows(record, now);
     let usable: Vec<&HostRecord> = hosts
         .iter()
         .filter(is_candidate)
--- a/crates/flows/tests/opening_gate.rs
+++ b/crates/flows/tests/opening_gate.rs
@@ -229,3 +229,30 @@
         Peer(10.0.2.1): Returned { purpose: Owner } + 6 bytes
         Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: true } + 0 bytes"#]].assert_eq(&lines.join("\n"));
 }
+
+// A host of a former build delivers what it gets while it has no routes, and balancers offered it
+// flows for as long as they knew no other host.
+#[test]
+fn a_silent_host_of_a_former_build_gets_no_new_flows() {
+    let mut lines = Vec::new();
+    for version in [PeerVersion::DETOURS, PeerVersion::OFFERS] {
+        for silent_millis in [1_400, 1_600] {
+            let mut outbox = FlowOutbox::default();
+            let mut balancer = new_balancer();
+            receive_hello_of_build(&mut balancer, 1, version);
+            let opening = opening_packet(4_001);
+            let now = at(900 + silent_millis);
+            balancer.receive_caller_packet(&raw_packet(&opening), now, &mut outbox);
+            let message_count = outbox.datagrams().count();
+            lines.push(format!(
+                "{version:?}, silent for {silent_millis} ms: {message_count} offers"
+            ));
+        }
+    }
+    expect![[r#"
+        PeerVersion(2), silent for 1400 ms: 1 offers
+        PeerVersion(2), silent for 1600 ms: 0 offers
+        PeerVersion(3), silent for 1400 ms: 1 offers
+        PeerVersion(3), silent for 1600 ms: 1 offers"#]]
+    .assert_eq(&lines.join("\n"));
+}
