--- a/crates/soak/src/program.rs
+++ b/crates/soak/src/program.rs
@@ -117,9 +117,11 @@
             ""
         };
         let text = self.settings_template.replace("{service}", self.service) + invalid_line;
-        std::fs::write(&self.settings_path, text).change_context_lazy(|| {
-            SoakError("failed to write the settings of a process".to_owned())
-        })
+        let context = || SoakError("failed to write the settings of a process".to_owned());
+        // A process that starts meanwhile must not read a part of the file.
+        let new_path = self.settings_path.with_extension("new");
+        std::fs::write(&new_path, text).change_context_lazy(context)?;
+        std::fs::rename(&new_path, &self.settings_path).change_context_lazy(context)
     }
 
     /// Sets the service of a host's backend server, and writes the settings.
