--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -99,11 +99,13 @@
         .collect();
     expect![[r#"
         4000 ms Stop(3)
+        4194 ms ReuseAddress(6)
         4470 ms Pause(6)
         5419 ms Stop(7)
         5863 ms CrashServer(1)
         6734 ms StoreLosesResponses
         8587 ms ReplaceServer(1)
+        9691 ms ReuseAddress(7)
         9747 ms RestoreStore(4.862s, 11)
         9957 ms Stop(2)
         10091 ms Kill(3)
