--- a/crates/flows/src/balancer/opening.rs
+++ b/crates/flows/src/balancer/opening.rs
@@ -259,12 +259,14 @@
             .cloned()
     }
 
-    /// Returns whether several hosts may have accepted a pending flow, because it was
-    /// offered more than once.
+    /// Returns whether several hosts may have accepted a pending flow: it was offered more than
+    /// once, or its first opening packet did not come to this balancer, so that another one may
+    /// have offered it.
     pub(super) fn has_several_offers(&self, flow: &FlowKey) -> bool {
-        self.openings
-            .iter()
-            .any(|opening| opening.flow == *flow && opening.attempt_count > 1)
+        self.openings.iter().any(|opening| {
+            let is_repetition = opening.age_at_arrival > Duration::ZERO;
+            opening.flow == *flow && (opening.attempt_count > 1 || is_repetition)
+        })
     }
 
     /// Ends the offer of a flow that a host has accepted, and offers a held flow of the
--- a/crates/flows/tests/search.rs
+++ b/crates/flows/tests/search.rs
@@ -8,6 +8,7 @@
 use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::outbox::Destination;
 use hyssopstair_flows::outbox::FlowOutbox;
+use hyssopstair_flows::packet::PacketHeader;
 use hyssopstair_wire::carried::CarryMessage;
 use hyssopstair_wire::carried::ForwardPurpose;
 use hyssopstair_wire::carried::HelloRole;
@@ -228,6 +229,29 @@
     expect!["[]"].assert_eq(&format!("{resets:?}"));
 }
 
+// The caller's first opening packet went through another balancer, which offered the flow to another
+// host. This balancer took the host that accepted the repetition for the only possible owner.
+#[test]
+fn a_flow_whose_first_opening_packet_went_elsewhere_is_not_reset_because_one_host_denies_it() {
+    let mut outbox = FlowOutbox::default();
+    let mut balancer = new_balancer_with_hosts(&mut outbox);
+    let repetition = PacketHeader {
+        acknowledged: 2,
+        ..opening_packet(4_001)
+    };
+    balancer.receive_caller_packet(&raw_packet(&repetition), at(100), &mut outbox);
+    let claim = CarryMessage::Owned {
+        flow: repetition.caller_flow(),
+        load: Default::default(),
+    };
+    balancer.receive_peer_message(host_address(1), &claim, None, &[], at(102), &mut outbox);
+    balancer.receive_caller_packet(&raw_packet(&request_packet(4_001)), at(103), &mut outbox);
+    return_packet(&mut balancer, host_address(1), 104, &mut outbox);
+    deny_flow(&mut balancer, 2, true, 106, &mut outbox);
+    let resets: Vec<_> = outbox.resets().to_vec();
+    expect!["[]"].assert_eq(&format!("{resets:?}"));
+}
+
 /// Returns the time in milliseconds at which a flow is reset, or `None` if it is not.
 ///
 /// Hosts 1 and 2 deny the flow. Host 3 does not answer; its last hello, which arrived at
