--- a/crates/hyssopstaird/src/carry/mod.rs
+++ b/crates/hyssopstaird/src/carry/mod.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod part;
 pub mod process;
+pub mod settings_watch;
 pub mod sockets;
 pub mod store;
 pub mod store_eras;
--- a/crates/hyssopstaird/src/carry/process.rs
+++ b/crates/hyssopstaird/src/carry/process.rs
@@ -41,6 +41,7 @@
 use crate::carry::journal::EventJournal;
 use crate::carry::metrics::CarryMetrics;
 use crate::carry::part::CarryPart;
+use crate::carry::settings_watch::SettingsWatch;
 use crate::carry::sockets::DatagramSocket;
 use crate::carry::sockets::RECEIVE_BUFFER_BYTES;
 use crate::carry::store_eras::StoreEras;
@@ -56,15 +57,28 @@
 /// Interval at which a stopping process checks whether it may end.
 const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Runs a process until it receives the signal to stop and has drained. `path` is the
-/// settings file, which a hangup signal reloads.
+/// Runs a process until it receives the signal to stop and has drained. `path` is the settings
+/// file, which had the content `text` and is reloaded when it changes or a hangup signal arrives.
 ///
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound, for example because it is in use.
-pub async fn run(settings: CarrySettings, path: &Path) -> Result<(), Report<DaemonError>> {
+pub async fn run(
+    settings: CarrySettings,
+    path: &Path,
+    text: &str,
+) -> Result<(), Report<DaemonError>> {
     let (command_sender, command_receiver) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
-    let mut process = CarryProcess::start(settings, path, command_sender, command_receiver).await?;
+    let clock = ProcessClock::start();
+    let settings_watch = SettingsWatch::new(path, text, clock.now());
+    let mut process = CarryProcess::start(
+        settings,
+        settings_watch,
+        clock,
+        command_sender,
+        command_receiver,
+    )
+    .await?;
     process.run().await;
     Ok(())
 }
@@ -72,7 +86,7 @@
 /// The state of the event loop.
 struct CarryProcess {
     settings: CarrySettings,
-    settings_path: std::path::PathBuf,
+    settings_watch: SettingsWatch,
     clock: ProcessClock,
     forwarder: CarryPart,
     outbox: FlowOutbox,
@@ -99,11 +113,11 @@
 impl CarryProcess {
     async fn start(
         settings: CarrySettings,
-        path: &Path,
+        settings_watch: SettingsWatch,
+        clock: ProcessClock,
         command_sender: mpsc::Sender<CarryCommand>,
         command_receiver: mpsc::Receiver<CarryCommand>,
     ) -> Result<Self, Report<DaemonError>> {
-        let clock = ProcessClock::start();
         let status = ProcessStatus::default();
         let peer_socket = DatagramSocket::bind(settings.inner_address())?;
         let packet_socket = DatagramSocket::bind(packet_socket_address(&settings))?;
@@ -120,7 +134,7 @@
         let forwarder = CarryPart::from_settings(&settings, clock.now());
         let (save_sender, save_receiver) = mpsc::channel(1);
         let mut process = Self {
-            settings_path: path.to_owned(),
+            settings_watch,
             clock,
             forwarder,
             outbox: FlowOutbox::default(),
@@ -182,6 +196,7 @@
             self.wait_for_event(&mut terminate, &mut reload).await;
             self.read_peer_messages();
             self.read_packets();
+            self.reload_changed_settings();
             self.tick();
         }
         let now = self.clock.now();
--- a/crates/hyssopstaird/src/carry/process/commands.rs
+++ b/crates/hyssopstaird/src/carry/process/commands.rs
@@ -115,13 +115,19 @@
         self.journal.write_process(message, fields, now);
     }
 
+    /// Applies the settings file if it has changed without a signal.
+    pub(super) fn reload_changed_settings(&mut self) {
+        if self.settings_watch.has_changed(self.clock.now()) {
+            self.reload_settings();
+        }
+    }
+
     /// Reads the settings file again and applies its contacts and the service that it names
     /// for the server. Other settings change only with a restart.
     pub(super) fn reload_settings(&mut self) {
         let now = self.clock.now();
-        let file_text =
-            std::fs::read_to_string(&self.settings_path).map_err(|error| error.to_string());
-        match file_text.and_then(|text| CarrySettings::parse(&text)) {
+        let file_text = self.settings_watch.read();
+        match file_text.and_then(CarrySettings::parse) {
             Ok(settings) => {
                 let contacts: Vec<Ipv4Addr> = settings
                     .contacts
--- a/crates/hyssopstaird/src/commands/run.rs
+++ b/crates/hyssopstaird/src/commands/run.rs
@@ -62,7 +62,7 @@
     if args.check {
         return report_valid(path);
     }
-    run_carry(settings, path)
+    run_carry(settings, path, text)
 }
 
 #[cfg(not(feature = "carry"))]
