--- a/crates/flows/src/host/server.rs
+++ b/crates/flows/src/host/server.rs
@@ -20,6 +20,7 @@
 use crate::heartbeat::is_same_incarnation;
 use crate::host::FlowHost;
 use crate::outbox::FlowOutbox;
+use crate::service_proof::ServiceEvidence;
 use crate::service_proof::ServiceProof;
 
 /// Time without a packet from the server, since one was delivered to it, after which the
@@ -145,22 +146,12 @@
         if let Some(reason) = self.check_heartbeat(heartbeat) {
             return ignore_heartbeat(heartbeat, reason, outbox);
         }
-        let former_evidence = self.server.service_proof.evidence(now);
-        let evidence = self.server.service_proof.record_heartbeat(
-            heartbeat,
-            &self.identity.service,
-            &self.assigned_service,
-            now,
-        );
-        let Some(evidence) = evidence else {
+        let proof = &mut self.server.service_proof;
+        let (known, assigned) = (&self.identity.service, &self.assigned_service);
+        let Some(evidence) = proof.judge_heartbeat(heartbeat, known, assigned, now) else {
+            proof.record_unconfirmed(heartbeat, assigned, now);
             return ignore_heartbeat(heartbeat, IgnoreReason::UnconfirmedService, outbox);
         };
-        if former_evidence != Some(evidence) {
-            outbox.record_event(FlowEvent::ServiceShown {
-                service: heartbeat.service.clone(),
-                evidence,
-            });
-        }
         let is_first = self.server.newest_heartbeat().is_none();
         let former_heartbeat = self.server.newest_heartbeat();
         let former_id = former_heartbeat.map_or(String::new(), |former| former.id.clone());
@@ -204,6 +195,7 @@
             // Balancers stop probing the server.
             self.schedule_hellos();
         }
+        self.record_service_evidence(evidence, &heartbeat.service, now, outbox);
         let cold_remaining = Duration::from_millis(u64::from(heartbeat.cold_remaining_millis));
         self.cold.record_heartbeat(cold_remaining, now);
         self.server.is_ending = false;
@@ -264,6 +256,23 @@
         }
     }
 
+    fn record_service_evidence(
+        &mut self,
+        evidence: ServiceEvidence,
+        service: &str,
+        now: MonotonicTime,
+        outbox: &mut FlowOutbox,
+    ) {
+        let proof = &mut self.server.service_proof;
+        if proof.evidence(now) != Some(evidence) {
+            outbox.record_event(FlowEvent::ServiceShown {
+                service: service.to_owned(),
+                evidence,
+            });
+        }
+        proof.record_evidence(evidence, now);
+    }
+
     /// Returns the service of the server, or `None` if nothing shows at the moment which one it
     /// runs.
     pub(super) fn proven_service(&self, now: MonotonicTime) -> Option<&str> {
--- a/crates/flows/src/service_proof.rs
+++ b/crates/flows/src/service_proof.rs
@@ -61,35 +61,50 @@
             .filter(|_| is_current && self.unconfirmed.is_none())
     }
 
-    /// Records a heartbeat, and returns how it shows which service the server runs, if it does.
-    /// `known_service` is the service that was shown last, and `assigned_service` that of the
-    /// settings.
-    pub fn record_heartbeat(
-        &mut self,
+    /// Returns how a heartbeat shows which service the server runs, if it does. `known_service` is
+    /// the service that was shown last, and `assigned_service` that of the settings.
+    pub fn judge_heartbeat(
+        &self,
         heartbeat: &ServerHeartbeat,
         known_service: &str,
         assigned_service: &str,
         now: MonotonicTime,
     ) -> Option<ServiceEvidence> {
         let are_settings_credible = !self.are_settings_contradicted || self.evidence.is_some();
-        let evidence = if heartbeat.service == assigned_service && are_settings_credible {
-            ServiceEvidence::SettingsAgree
-        } else if let Some(known_evidence) =
-            self.evidence.filter(|_| heartbeat.service == known_service)
-        {
-            known_evidence
+        if heartbeat.service == assigned_service && are_settings_credible {
+            Some(ServiceEvidence::SettingsAgree)
+        } else if heartbeat.service == known_service && self.evidence.is_some() {
+            self.evidence
         } else if self.is_sender_running(heartbeat, now) {
-            ServiceEvidence::SenderRuns
+            Some(ServiceEvidence::SenderRuns)
         } else {
-            self.are_settings_contradicted |= heartbeat.service != assigned_service;
-            self.record_unconfirmed(heartbeat, now);
-            return None;
-        };
+            None
+        }
+    }
+
+    /// Records that the newest heartbeat of the server shows its service.
+    pub fn record_evidence(&mut self, evidence: ServiceEvidence, now: MonotonicTime) {
         self.evidence = Some(evidence);
         self.seen_at = now;
         self.unconfirmed = None;
         self.are_settings_contradicted = false;
-        Some(evidence)
+    }
+
+    /// Records a heartbeat that does not show which service the server runs. It casts doubt on
+    /// what was shown before, until the next one that does.
+    pub fn record_unconfirmed(
+        &mut self,
+        heartbeat: &ServerHeartbeat,
+        assigned_service: &str,
+        now: MonotonicTime,
+    ) {
+        self.are_settings_contradicted |= heartbeat.service != assigned_service;
+        let is_known = self.unconfirmed.as_ref().is_some_and(|(first, _)| {
+            is_same_incarnation(first, heartbeat) && first.service == heartbeat.service
+        });
+        if !is_known {
+            self.unconfirmed = Some((heartbeat.clone(), now));
+        }
     }
 
     /// Records that the server has sent a packet or accepted a connection. It is the same server
@@ -115,13 +130,4 @@
                 && now.since(*first_at) >= MIN_HEARTBEAT_DISTANCE
         })
     }
-
-    fn record_unconfirmed(&mut self, heartbeat: &ServerHeartbeat, now: MonotonicTime) {
-        let is_known = self.unconfirmed.as_ref().is_some_and(|(first, _)| {
-            is_same_incarnation(first, heartbeat) && first.service == heartbeat.service
-        });
-        if !is_known {
-            self.unconfirmed = Some((heartbeat.clone(), now));
-        }
-    }
 }
--- a/crates/flows/tests/opening_gate.rs
+++ b/crates/flows/tests/opening_gate.rs
@@ -256,3 +256,33 @@
         PeerVersion(3), silent for 1600 ms: 1 offers"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+// A heartbeat that was overtaken, or that is from an earlier incarnation, is no sign of life.
+#[test]
+fn a_stale_heartbeat_does_not_renew_the_evidence_of_the_service() {
+    let mut lines = Vec::new();
+    for (sequence, millis) in [(1, 1_900), (1, 2_500), (2, 2_500)] {
+        let mut outbox = FlowOutbox::default();
+        let mut host = new_ready_host(1);
+        let verdict = host.receive_heartbeat(&heartbeat(sequence), at(millis), &mut outbox);
+        outbox.clear();
+        let opening = opening_packet(4_001);
+        let now = at(millis + 10);
+        host.receive_offered_packet(
+            &offer_header(1),
+            SERVICE,
+            &raw_packet(&opening),
+            now,
+            &mut outbox,
+        );
+        lines.push(format!(
+            "heartbeat {sequence} at {millis} ms {verdict:?}: {}",
+            take_output(&mut outbox)
+        ));
+    }
+    expect![[r#"
+        heartbeat 1 at 1900 ms Ignored(Stale): Server: packet
+        heartbeat 1 at 2500 ms Ignored(Stale): Peer(10.0.2.1): Returned { purpose: Open } + 6 bytes
+        heartbeat 2 at 2500 ms Accepted: Server: packet"#]]
+    .assert_eq(&lines.join("\n"));
+}
