--- a/crates/flows/src/service_proof.rs
+++ b/crates/flows/src/service_proof.rs
@@ -56,9 +56,14 @@
     /// Returns the evidence that the server still runs the service that was shown last; `None` if
     /// there is none, or if a heartbeat of another server contradicts it.
     pub fn evidence(&self, now: MonotonicTime) -> Option<ServiceEvidence> {
+        self.unexpired_evidence(now)
+            .filter(|_| self.unconfirmed.is_none())
+    }
+
+    /// Returns the evidence unless the address of the server may have been reused since.
+    fn unexpired_evidence(&self, now: MonotonicTime) -> Option<ServiceEvidence> {
         let is_current = now.since(self.seen_at) < self.reuse_time;
-        self.evidence
-            .filter(|_| is_current && self.unconfirmed.is_none())
+        self.evidence.filter(|_| is_current)
     }
 
     /// Returns how a heartbeat shows which service the server runs, if it does. `known_service` is
@@ -71,10 +76,11 @@
         now: MonotonicTime,
     ) -> Option<ServiceEvidence> {
         let are_settings_credible = !self.are_settings_contradicted || self.evidence.is_some();
+        let known_evidence = self.unexpired_evidence(now);
         if heartbeat.service == assigned_service && are_settings_credible {
             Some(ServiceEvidence::SettingsAgree)
-        } else if heartbeat.service == known_service && self.evidence.is_some() {
-            self.evidence
+        } else if heartbeat.service == known_service && known_evidence.is_some() {
+            known_evidence
         } else if self.is_sender_running(heartbeat, now) {
             Some(ServiceEvidence::SenderRuns)
         } else {
--- a/crates/flows/tests/opening_gate.rs
+++ b/crates/flows/tests/opening_gate.rs
@@ -286,3 +286,27 @@
         heartbeat 2 at 2500 ms Accepted: Server: packet"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+// The settings name the next service, and its server may have taken the address since the last sign
+// of life of the former one.
+#[test]
+fn a_heartbeat_after_a_long_silence_does_not_contradict_the_settings_alone() {
+    let mut lines = Vec::new();
+    for silent_millis in [1_900, 2_100] {
+        let mut outbox = FlowOutbox::default();
+        let mut host = new_ready_host(1);
+        host.assign_service("archive");
+        for (sequence, millis) in [(2, silent_millis), (3, silent_millis + 1_200)] {
+            let verdict = host.receive_heartbeat(&heartbeat(sequence), at(millis), &mut outbox);
+            lines.push(format!(
+                "silent for {silent_millis} ms, heartbeat {sequence}: {verdict:?}"
+            ));
+        }
+    }
+    expect![[r#"
+        silent for 1900 ms, heartbeat 2: Accepted
+        silent for 1900 ms, heartbeat 3: Accepted
+        silent for 2100 ms, heartbeat 2: Ignored(UnconfirmedService)
+        silent for 2100 ms, heartbeat 3: Accepted"#]]
+    .assert_eq(&lines.join("\n"));
+}
