--- a/crates/rules/tests/released_settings.rs
+++ b/crates/rules/tests/released_settings.rs
@@ -82,3 +82,28 @@
         }
     }
 }
+
+// The platform leaves out a bound that an installation does not have, and with it the key.
+#[test]
+fn the_time_for_which_addresses_stay_unused_has_a_default() {
+    let times: Vec<String> = [
+        "",
+        "\"\": \n",
+        "\"address_reuse_seconds\": 0.5\n",
+        "address_reuse_seconds: -1\n",
+    ]
+    .iter()
+    .map(
+        |line| match CarrySettings::parse(&format!("{FORMER_SETTINGS}{line}")) {
+            Ok(settings) => format!("{:?}", settings.address_reuse_time()),
+            Err(error) => error,
+        },
+    )
+    .collect();
+    expect![[r#"
+        2s
+        2s
+        500ms
+        max_flow_seconds, grace_seconds, address_reuse_seconds: must be at least 0 and less than 1000000"#]]
+    .assert_eq(&times.join("\n"));
+}
