--- a/crates/soak/src/fleet/events.rs
+++ b/crates/soak/src/fleet/events.rs
@@ -19,6 +19,7 @@
 use crate::plan::FIXED_SERVICE_HOSTS;
 use crate::plan::SoakEvent;
 use crate::program::ZONE_COUNT;
+use crate::program::zone_of_process;
 use crate::relay::ConnectionFault;
 use crate::relay::LinkFaults;
 
@@ -103,8 +104,13 @@
         }
     }
 
-    /// Empties a zone for a while.
+    /// Empties a zone for a while, unless a service has no other hosts: its callers would rightly be
+    /// refused.
     fn evacuate_zone(&self, zone: u8, duration: Duration) {
+        let has_others = |service| !self.hosts_outside(zone, service).is_empty();
+        if !["one", "two"].into_iter().all(has_others) {
+            return;
+        }
         *self.evacuated_zone.borrow_mut() = Some(zone);
         self.rewrite_evacuation();
         let fleet = self.clone();
@@ -235,8 +241,27 @@
         });
     }
 
-    /// Assigns the address of an instance that ends now to the other service.
+    /// Returns the hosts of a service outside a zone.
+    fn hosts_outside(&self, zone: u8, service: &str) -> Vec<usize> {
+        let members = self.members.borrow();
+        (0..self.servers.len())
+            .filter(|host| members[self.balancer_count + host].service == service)
+            .filter(|host| zone_of_process(*host) != zone)
+            .collect()
+    }
+
+    /// Assigns the address of an instance that ends now to the other service, unless a zone is
+    /// emptied and no other host of its service is outside the zone.
     fn change_service(&self, host: usize) {
+        let present_service = self.members.borrow()[self.balancer_count + host].service;
+        let emptied_zone = *self.evacuated_zone.borrow();
+        let is_needed = emptied_zone.is_some_and(|zone| {
+            let others = self.hosts_outside(zone, present_service);
+            others.iter().all(|other| *other == host)
+        });
+        if is_needed {
+            return;
+        }
         let service = {
             let member = &mut self.members.borrow_mut()[self.balancer_count + host];
             member.unavailable_until = Instant::now() + ADDRESS_REUSE_DELAY;
