--- a/crates/flows/tests/greeting.rs
+++ b/crates/flows/tests/greeting.rs
@@ -114,8 +114,7 @@
         .assert_eq(&format!("{counts:?}, {} balancers", greeted.len()));
 }
 
-// The first request was held back for 150 ms after the start of the clock, and the next hellos of a
-// large fleet come half a second later.
+// The next hellos of a large fleet come half a second later.
 #[test]
 fn a_process_that_starts_asks_for_routes_on_the_first_hello() {
     let mut outbox = FlowOutbox::default();
--- a/crates/flows/tests/heartbeat_orders.rs
+++ b/crates/flows/tests/heartbeat_orders.rs
@@ -300,15 +300,13 @@
     expect!["37448 orders, 0 failed"].assert_eq(&play_orders(SERVICE, NEXT_SERVICE));
 }
 
-// A restarted host took its server for one of the service that its settings, or the late heartbeat of a
-// former server, named.
+// Settings that run ahead, or a late heartbeat of a former server, may name another service.
 #[test]
 fn no_order_of_heartbeats_opens_a_flow_at_a_server_of_another_service() {
     expect!["37448 orders, 0 failed"].assert_eq(&play_orders(OTHER_SERVICE, NEXT_SERVICE));
 }
 
-// Settings that run ahead of the server and a late heartbeat of a former server agree, so that either
-// seems to confirm the other.
+// Settings that run ahead and a late heartbeat of a former server seem to confirm each other.
 #[test]
 fn settings_and_a_late_heartbeat_that_agree_open_no_flow_at_another_service() {
     expect!["37448 orders, 0 failed"].assert_eq(&play_orders(OTHER_SERVICE, OTHER_SERVICE));
--- a/crates/flows/tests/opening_gate.rs
+++ b/crates/flows/tests/opening_gate.rs
@@ -3,6 +3,7 @@
 mod fixture;
 
 use expect_test::expect;
+use hyssopstair_flows::balancer::FlowBalancer;
 use hyssopstair_flows::event::FlowEvent;
 use hyssopstair_flows::opening_gate::OpeningClaim;
 use hyssopstair_flows::opening_gate::check_opening;
@@ -26,11 +27,7 @@
 }
 
 /// Delivers a hello of a host whose build understands `version` to balancer 1.
-fn receive_hello_of_build(
-    balancer: &mut hyssopstair_flows::balancer::FlowBalancer,
-    number: u8,
-    version: PeerVersion,
-) {
+fn receive_hello_of_build(balancer: &mut FlowBalancer, number: u8, version: PeerVersion) {
     let extension = HelloExtension {
         version,
         ..HelloExtension::default()
@@ -199,8 +196,7 @@
         Peer(10.0.1.1): Forward(CarryHeader { purpose: Open, balancer: 10.0.2.1, routes: 1, best: None, next: [10.0.1.2] })"#]].assert_eq(&lines.join("\n"));
 }
 
-// A balancer forwarded the repeated opening packet of a former server's flow by its flow table, and
-// the next process at the address took it for a packet of a flow that its server may hold.
+// The flow table may name the address of a former instance.
 #[test]
 fn a_repeated_opening_packet_that_follows_a_hint_passes_the_gate() {
     let mut lines = Vec::new();
@@ -230,8 +226,7 @@
         Peer(10.0.2.1): NotHeld { flows: [FlowKey { caller: 100.64.0.7:4001, target: 198.18.0.1:443 }], is_certain: true } + 0 bytes"#]].assert_eq(&lines.join("\n"));
 }
 
-// A host of a former build delivers what it gets while it has no routes, and balancers offered it
-// flows for as long as they knew no other host.
+// A host of a former build does not compare the service of an offer.
 #[test]
 fn a_silent_host_of_a_former_build_gets_no_new_flows() {
     let mut lines = Vec::new();
@@ -287,8 +282,7 @@
     .assert_eq(&lines.join("\n"));
 }
 
-// The settings name the next service, and its server may have taken the address since the last sign
-// of life of the former one.
+// The server of the service that the settings name may have taken the address meanwhile.
 #[test]
 fn a_heartbeat_after_a_long_silence_does_not_contradict_the_settings_alone() {
     let mut lines = Vec::new();
--- a/crates/flows/tests/reused_address.rs
+++ b/crates/flows/tests/reused_address.rs
@@ -47,28 +47,17 @@
     }
 }
 
-// With 55 hosts, balancers offer flows to a silent host for longer than its address stays unused,
-// and the next process at the address had no routes that forbid them.
+// Balancers offer flows to a silent host for longer than its address stays unused.
 #[test]
 fn no_flow_reaches_the_next_service_at_a_reused_address() {
-    let mut failures = Vec::new();
+    let mut failures: Vec<String> = Vec::new();
     for seed in 1..=RUN_COUNT {
         let mut world = World::new(reuse_plan(), seed);
         world.run();
         let violations = world.oracle.violations();
         failures.extend(violations.iter().map(|text| format!("seed {seed}: {text}")));
     }
-    expect!["0 violations"].assert_eq(
-        format!(
-            "{} violations\n{}",
-            failures.len(),
-            failures
-                .iter()
-                .take(3)
-                .cloned()
-                .collect::<Vec<_>>()
-                .join("\n")
-        )
-        .trim_end(),
-    );
+    let first_failures = failures[..failures.len().min(3)].join("\n");
+    let summary = format!("{} violations\n{first_failures}", failures.len());
+    expect!["0 violations"].assert_eq(summary.trim_end());
 }
--- a/crates/flows/tests/search.rs
+++ b/crates/flows/tests/search.rs
@@ -229,8 +229,7 @@
     expect!["[]"].assert_eq(&format!("{resets:?}"));
 }
 
-// The caller's first opening packet went through another balancer, which offered the flow to another
-// host. This balancer took the host that accepted the repetition for the only possible owner.
+// Another balancer may have offered the flow to another host.
 #[test]
 fn a_flow_whose_first_opening_packet_went_elsewhere_is_not_reset_because_one_host_denies_it() {
     let mut outbox = FlowOutbox::default();
--- a/crates/flows/tests/server_pace.rs
+++ b/crates/flows/tests/server_pace.rs
@@ -11,6 +11,9 @@
 
 use crate::fixture::*;
 
+/// Time between two heartbeats of the server, in milliseconds.
+const HEARTBEAT_INTERVAL_MILLIS: u64 = 1_200;
+
 /// How a server treats a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Treatment {
@@ -75,9 +78,6 @@
     heartbeat_sequence: u64,
 }
 
-/// Time between two heartbeats of the server, in milliseconds.
-const HEARTBEAT_INTERVAL_MILLIS: u64 = 1_200;
-
 impl PacePlay {
     fn new(host: FlowHost) -> Self {
         Self {
--- a/crates/rules/src/carry_settings.rs
+++ b/crates/rules/src/carry_settings.rs
@@ -72,8 +72,7 @@
 pub struct ServerSettings {
     /// Name of the service that the server provides.
     pub service: String,
-    /// Address on which the server receives packets over UDP and health checks over
-    /// HTTP.
+    /// Address on which the server receives packets over UDP and accepts connections over TCP.
     pub address: SocketAddrV4,
     /// UDP address to which the server sends its packets.
     pub outbound: SocketAddrV4,
