--- a/crates/flows/src/host/mod.rs
+++ b/crates/flows/src/host/mod.rs
@@ -221,7 +221,7 @@
         match header.purpose {
             ForwardPurpose::Open | ForwardPurpose::OpenHere => {
                 let offer = FlowOffer::unnamed(header);
-                self.receive_opening_packet(&offer, packet, now, outbox);
+                self.receive_opening_packet(offer, packet, now, outbox);
             }
             ForwardPurpose::Owner | ForwardPurpose::Probe => {
                 self.receive_established_packet(header, packet, now, outbox);
@@ -240,7 +240,7 @@
     ) {
         if packet.header.opens_flow() {
             let offer = FlowOffer::for_service(header, service);
-            self.receive_opening_packet(&offer, packet, now, outbox);
+            self.receive_opening_packet(offer, packet, now, outbox);
         }
     }
 
--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -91,7 +91,7 @@
     /// Accepts the opening packet of a flow or passes it on.
     pub(super) fn receive_opening_packet(
         &mut self,
-        offer: &FlowOffer,
+        mut offer: FlowOffer,
         packet: &RawPacket<'_>,
         now: MonotonicTime,
         outbox: &mut FlowOutbox,
@@ -102,11 +102,11 @@
         let permit = match check_opening(table, service, flow.target, offer.claim()) {
             Ok(permit) => permit,
             Err(denial) => {
-                outbox.record_event(self.describe_denial(offer, flow, denial));
+                outbox.record_event(self.describe_denial(&offer, flow, denial));
                 // The host does not wait for the next hello of the balancer.
                 let routes = offer.header.routes;
                 self.routes.request_newer(balancer, routes, now, outbox);
-                self.forward_to_next_host(offer.clone(), packet, now, outbox);
+                self.forward_to_next_host(offer, packet, now, outbox);
                 return;
             }
         };
@@ -121,22 +121,21 @@
             });
             return;
         }
-        let mut next_offer = offer.clone();
         match self.evaluate_opening(&flow, now) {
             OpeningVerdict::Accept => {
-                self.accept_flow(next_offer, permit, packet, now, outbox);
+                self.accept_flow(offer, permit, packet, now, outbox);
                 return;
             }
             OpeningVerdict::Queue(request_count) => {
-                let least = next_offer.header.best.map(|(_, least_count)| least_count);
+                let least = offer.header.best.map(|(_, least_count)| least_count);
                 let is_least = least.is_none_or(|least_count| request_count < least_count);
-                let is_last = next_offer.header.next.is_empty();
+                let is_last = offer.header.next.is_empty();
                 if offer.header.purpose == ForwardPurpose::OpenHere || (is_least && is_last) {
-                    self.accept_flow(next_offer, permit, packet, now, outbox);
+                    self.accept_flow(offer, permit, packet, now, outbox);
                     return;
                 }
                 if is_least {
-                    next_offer.header.best = Some((self.identity.address, request_count));
+                    offer.header.best = Some((self.identity.address, request_count));
                 }
             }
             OpeningVerdict::Reject => {}
@@ -145,7 +144,7 @@
                 outbox.record_event(FlowEvent::KeptAway { flow, balancer });
             }
         }
-        self.forward_to_next_host(next_offer, packet, now, outbox);
+        self.forward_to_next_host(offer, packet, now, outbox);
     }
 
     fn describe_denial(
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -79,6 +79,9 @@
     CrashServer(usize),
     /// Drains a server and starts a new one, possibly for the other service.
     ReplaceServer(usize),
+    /// Ends an instance without notice, host and server, and gives its address to one of the
+    /// other service, whose server starts after the duration.
+    ReuseAddress(usize),
     /// Crashes a server and starts a new one whose clock is set back.
     SetServerClockBack(usize),
     /// Drops some datagrams to and from a process.
@@ -99,9 +102,6 @@
     StoreDown,
     /// Makes the store respond late.
     StoreSlow,
-    /// Ends an instance without notice, host and server, and gives its address to one of the
-    /// other service, whose server starts after the duration.
-    ReuseAddress(usize),
     /// Makes the store execute calls without responding.
     StoreLosesResponses,
     /// Compacts the history of the store.
