--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -28,9 +29,124 @@
 const GUARD_PORT: u16 = 30_009;
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 pub const SERVICE: &str = "huvo11a";
+pub const OTHER_SERVICE: &str = "wuno96b";
 const ZONES: [&str; 3] = ["thapathali", "balaju", "lalitpur"];
 
+/// The present lifetime of a host.
+pub struct Life {
+    pub is_up: bool,
+    pub service: &'static str,
+    number: u32,
+    born: u128,
+    sequence: u64,
+    /// When the last ping was sent.
+    pub pinged_at: Instant,
+    /// Whether pings are held up on their way.
+    pub holds_pings: bool,
+    /// Paths and bodies of the pings that are held up.
+    pub held: Vec<(String, String)>,
+}
+
+impl Life {
+    fn new(service: &'static str) -> Self {
+        Self {
+            is_up: true,
+            service,
+            number: 0,
+            born: unix_millis(),
+            sequence: 0,
+            pinged_at: Instant::now(),
+            holds_pings: false,
+            held: Vec::new(),
+        }
+    }
+
+    /// Starts the next lifetime, under an `id` of its own.
+    pub fn begin_next(&mut self) {
+        self.is_up = true;
+        self.number += 1;
+        self.born = unix_millis();
+        self.sequence = 0;
+        self.holds_pings = false;
+    }
+}
+
+fn unix_millis() -> u128 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis()
+}
+
+/// Answers liveness checks while the host runs; nothing listens while it does not.
+fn listen(address: Ipv4Addr, life: &Mutex<Life>) {
+    let mut listener: Option<TcpListener> = None;
+    loop {
+        if !life.lock().unwrap().is_up {
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind((address, APP_PORT)).ok();
+            if let Some(listener) = &listener {
+                let _ = listener.set_nonblocking(true);
+            }
+        }
+        while let Some(Ok((mut stream, _))) = listener.as_ref().map(TcpListener::accept) {
+            let _ = stream.set_nonblocking(false);
+            std::thread::spawn(move || {
+                let mut buffer = Vec::new();
+                while http::read_request(&mut stream, &mut buffer).is_some() {
+                    http::write_response(&mut stream, 200, "{}");
+                }
+            });
+        }
+        std::thread::sleep(Duration::from_millis(3));
+    }
+}
+
+/// Sends a ping every [`HEARTBEAT`], and at once when a lifetime begins.
+fn send_pings(index: usize, address: Ipv4Addr, life: &Mutex<Life>) {
+    let zone = ZONES[index % 3];
+    let mut last_number = None;
+    loop {
+        let ping = {
+            let mut life = life.lock().unwrap();
+            let is_due = last_number != Some(life.number) || life.pinged_at.elapsed() >= HEARTBEAT;
+            if life.is_up && is_due {
+                last_number = Some(life.number);
+                life.pinged_at = Instant::now();
+                life.sequence += 1;
+                let path = format!("/Instances.Heartbeat/i-{index}-{}", life.number);
+                let body = format!(
+                    "{{\"service\":\"{}\",\"address\":\"{address}:{APP_PORT}\",\
+                     \"zone\":\"{zone}\",\"version\":\"v1\",\"capacity\":3,\"state\":\"ready\",\
+                     \"coldRemainingMs\":0,\"sequence\":{},\"born\":{}}}",
+                    life.service, life.sequence, life.born
+                );
+                if life.holds_pings {
+                    life.held.push((path, body));
+                    None
+                } else {
+                    Some((path, body))
+                }
+            } else {
+                None
+            }
+        };
+        if let Some((path, body)) = ping {
+            send_ping(address, &path, &body);
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Sends one ping to the daemon on a host's machine, and returns the status.
+pub fn send_ping(address: Ipv4Addr, path: &str, body: &str) -> Option<u16> {
+    let to = SocketAddr::from((address, CONTROL_PORT));
+    http::call(to, "POST", path, body, Duration::from_secs(1))
+}
+
 pub struct Fleet {
+    pub lives: Vec<Arc<Mutex<Life>>>,
     pub clock: Clock,
     pub record: Record,
     pub rotation: Rotation,
@@ -49,8 +165,9 @@
 }
 
 impl Fleet {
-    /// Starts a deployment with one service. Zones are dealt in turn.
-    pub fn start(balancer_count: u8, host_count: u8, caller_count: u8) -> Option<Self> {
+    /// Starts a deployment with a host for each of the services. Zones are dealt in turn.
+    pub fn start(balancer_count: u8, services: &[&'static str], caller_count: u8) -> Option<Self> {
+        let host_count = services.len() as u8;
         let clock = Clock::start();
         let first = 20 + (std::process::id() % 200) as u8;
         let (net, guard) = (0..200u16).find_map(|offset| {
@@ -97,12 +214,8 @@
         let daemons: Vec<_> = (0..host_count)
             .map(|number| {
                 let (name, ip) = (format!("side-{}", number + 1), address(2, number));
-                let settings = format!(
-                    "{}\"address_reuse_seconds\": 2\nserver_pace: true\nserver:\n  service: \
-                     \"{SERVICE}\"\n  address: \"{ip}:{APP_PORT}\"\n  outbound: \
-                     \"{ip}:{OUTBOUND_PORT}\"\n  heartbeats: \"{ip}:{CONTROL_PORT}\"\n",
-                    common(&name, "host", number, ip)
-                );
+                let service = services[usize::from(number)];
+                let settings = host_settings(&common(&name, "host", number, ip), ip, service);
                 create(&name, ip, &settings)
             })
             .collect();
@@ -115,6 +228,10 @@
             clock,
             record: Record::default(),
             rotation,
+            lives: services
+                .iter()
+                .map(|service| Arc::new(Mutex::new(Life::new(service))))
+                .collect(),
             balancers,
             daemons,
             hosts,
@@ -133,38 +250,11 @@
 
     /// Starts what hosts do over TCP: they answer liveness checks and send pings.
     fn start_hosts(&self) {
-        let born = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap()
-            .as_millis();
         for (index, address) in self.hosts.iter().copied().enumerate() {
-            let listener = TcpListener::bind((address, APP_PORT)).expect("host address");
-            std::thread::spawn(move || {
-                for stream in listener.incoming().flatten() {
-                    let mut stream = stream;
-                    std::thread::spawn(move || {
-                        let mut buffer = Vec::new();
-                        while http::read_request(&mut stream, &mut buffer).is_some() {
-                            http::write_response(&mut stream, 200, "{}");
-                        }
-                    });
-                }
-            });
-            std::thread::spawn(move || {
-                let to = SocketAddr::from((address, CONTROL_PORT));
-                let path = format!("/Instances.Heartbeat/i-{index}");
-                let zone = ZONES[index % 3];
-                for sequence in 1u64.. {
-                    let body = format!(
-                        "{{\"service\":\"{SERVICE}\",\"address\":\"{address}:{APP_PORT}\",\
-                         \"zone\":\"{zone}\",\"version\":\"v1\",\"capacity\":3,\"state\":\"ready\",\
-                         \"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{born}}}"
-                    );
-                    let limit = Duration::from_secs(1);
-                    http::call(to, "POST", &path, &body, limit);
-                    std::thread::sleep(HEARTBEAT);
-                }
-            });
+            let life = Arc::clone(&self.lives[index]);
+            std::thread::spawn(move || listen(address, &life));
+            let life = Arc::clone(&self.lives[index]);
+            std::thread::spawn(move || send_pings(index, address, &life));
         }
     }
 
@@ -220,17 +310,43 @@
     record.lock().unwrap().push(line);
 }
 
-/// The operator's configuration: one route for requests that may be repeated, one for those that
-/// may not.
-pub fn configuration(version: u64, route: Ipv4Addr) -> String {
+/// Returns the settings of the daemon beside a host.
+fn host_settings(common: &str, ip: Ipv4Addr, service: &str) -> String {
+    format!(
+        "{common}\"address_reuse_seconds\": 2\nserver_pace: true\nserver:\n  service: \
+         \"{service}\"\n  address: \"{ip}:{APP_PORT}\"\n  outbound: \"{ip}:{OUTBOUND_PORT}\"\n  \
+         heartbeats: \"{ip}:{CONTROL_PORT}\"\n"
+    )
+}
+
+/// The operator's configuration: a route for requests that may be repeated, one for those that may
+/// not, and one for the other service.
+fn configuration(version: u64, route: Ipv4Addr) -> String {
+    let routes = [
+        (443, "safe", SERVICE),
+        (8080, "unsafe", SERVICE),
+        (9090, "safe", OTHER_SERVICE),
+    ];
+    let routes: Vec<String> = routes
+        .iter()
+        .map(|(port, kind, service)| {
+            format!(
+                "{{\"name\":\"r-{port}\",\"host\":\"{route}\",\"prefix\":\"/{port}/\",\"type\":\"{kind}\"\
+                 ,\"timeoutMs\":2000,\"targetLatencyMs\":200,\"priority\":2,\"service\":\"{service}\",\
+                 \"maxAttempts\":2}}"
+            )
+        })
+        .collect();
+    let services = [SERVICE, OTHER_SERVICE].map(|service| {
+        format!(
+            "{{\"name\":\"{service}\",\"healthCheckPath\":\"/healthz\",\"maxConnections\":2000,\
+             \"protocol\":\"h1\",\"tls\":false}}"
+        )
+    });
     format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"{route}\",\"prefix\":\
-         \"/443/\",\"type\":\"safe\",\"timeoutMs\":2000,\"targetLatencyMs\":200,\"priority\":2,\
-         \"service\":\"{SERVICE}\",\"maxAttempts\":2}},{{\"name\":\"r-2\",\"host\":\"{route}\",\
-         \"prefix\":\"/8080/\",\"type\":\"unsafe\",\"timeoutMs\":2000,\"targetLatencyMs\":200,\
-         \"priority\":1,\"service\":\"{SERVICE}\",\"maxAttempts\":2}}],\"services\":[{{\"name\":\
-         \"{SERVICE}\",\"healthCheckPath\":\"/healthz\",\"maxConnections\":2000,\"protocol\":\"h1\"\
-         ,\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\
-         \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}"
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":\
+         16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
+        routes.join(","),
+        services.join(",")
     )
 }
--- a/review/stand-ins-3/src/process.rs
+++ b/review/stand-ins-3/src/process.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Replaces a part of the settings file, as the platform does.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings");
+        std::fs::write(&self.settings, text.replace(from, to)).expect("settings");
+    }
+
     pub fn start(&mut self) {
         let log = File::options()
             .create(true)
--- a/review/stand-ins-3/src/world.rs
+++ b/review/stand-ins-3/src/world.rs
@@ -10,6 +10,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use crate::fleet::Life;
+use crate::fleet::OTHER_SERVICE;
+use crate::fleet::SERVICE;
 use crate::net::*;
 
 pub const PACKET_PORT: u16 = 8172;
@@ -34,6 +37,8 @@
     pub requests: (u64, u64),
     /// Pause between two requests of a flow, in milliseconds.
     pub pause_ms: (u64, u64),
+    /// Of ten flows, those to the other service.
+    pub other_service_tenths: u64,
     /// Datagrams to consumers of which one is lost; 0: none is.
     pub lost_one_in: u64,
 }
@@ -162,6 +167,10 @@
     pub foreign_packets: u64,
     pub changed_packets: u64,
     pub run_twice: u64,
+    /// Opening packets that a host of another service than the route's took.
+    pub wrong_service: u64,
+    /// Requests that a host of another service than the route's ran.
+    pub run_by_wrong_service: u64,
 }
 
 pub struct World {
@@ -170,7 +179,7 @@
     record: Record,
     rotation: Rotation,
     habits: Habits,
-    targets: [End; 2],
+    targets: [End; 3],
     random: Random,
     callers: Vec<Caller>,
     hosts: Vec<Host>,
@@ -184,6 +193,7 @@
     /// Whether the disruption is planned work, under which also resets of senders count that are
     /// not in touch.
     pub is_planned: bool,
+    lives: Vec<Arc<Mutex<Life>>>,
 }
 
 impl World {
@@ -193,9 +203,10 @@
         record: Record,
         rotation: Rotation,
         habits: Habits,
-        targets: [End; 2],
+        targets: [End; 3],
         callers: &[Ipv4Addr],
         hosts: &[Ipv4Addr],
+        lives: Vec<Arc<Mutex<Life>>>,
         seed: u64,
     ) -> Self {
         let bind = |address: Ipv4Addr, port: u16| {
@@ -236,6 +247,7 @@
             opens_flows: true,
             disturbances: Disturbances::default(),
             is_planned: false,
+            lives,
         };
         world.set_timer(clock.now(), Timer::NewFlow);
         world
@@ -252,9 +264,15 @@
                 }
             }
             for index in 0..self.hosts.len() {
+                let is_up = self.lives[index].lock().unwrap().is_up;
+                if !is_up {
+                    self.hosts[index].flows.clear();
+                }
                 while let Ok((length, _)) = self.hosts[index].socket.recv_from(&mut buffer) {
                     is_idle = false;
-                    self.receive_at_host(index, buffer[..length].to_vec());
+                    if is_up {
+                        self.receive_at_host(index, buffer[..length].to_vec());
+                    }
                 }
             }
             let now = self.clock.now();
@@ -333,7 +351,9 @@
         };
         self.callers[caller].port = port;
         let is_unsafe = self.random.below(4) == 0;
-        let target = self.targets[usize::from(is_unsafe)];
+        let is_other = self.random.below(10) < self.habits.other_service_tenths;
+        let is_unsafe = is_unsafe && !is_other;
+        let target = self.targets[if is_other { 2 } else { usize::from(is_unsafe) }];
         let key = ((self.callers[caller].address, port), target);
         let (least, most) = self.habits.requests;
         let start = self.random.next() as u32;
@@ -600,6 +620,19 @@
         }
         let key = (head.src, head.dst);
         let start = self.random.next() as u32;
+        let service = match key.1 == self.targets[2] {
+            true => OTHER_SERVICE,
+            false => SERVICE,
+        };
+        let is_wrong_service = self.lives[index].lock().unwrap().service != service;
+        if is_wrong_service && head.flags & SYN != 0 {
+            self.tally.wrong_service += 1;
+            self.note(&format!(
+                "WRONG SERVICE: {} takes {}, which is for {service}",
+                self.hosts[index].address,
+                name(&key)
+            ));
+        }
         let host = &mut self.hosts[index];
         if head.flags & SYN != 0 {
             let flow = host.flows.entry(key).or_insert_with(|| HostFlow {
@@ -697,6 +730,7 @@
             if *count > 1 {
                 self.tally.run_twice += 1;
             }
+            self.tally.run_by_wrong_service += u64::from(is_wrong_service);
             self.note(&format!(
                 "{} runs request {number}",
                 self.hosts[index].address
