--- a/crates/flows/tests/detour.rs
+++ b/crates/flows/tests/detour.rs
@@ -32,7 +32,6 @@
 use crate::fixture::*;
 use crate::model::caller::CallerTally;
 use crate::model::world::Fault;
-use crate::model::world::PlacingPolicy;
 use crate::model::world::World;
 use crate::model::world::WorldPlan;
 
@@ -47,23 +46,10 @@
         callers: 60,
         slots: 4,
         work_micros: (10_000, 30_000),
-        cold_percent: 100,
-        slow_hosts: 0,
-        failing_hosts: 0,
-        policy: PlacingPolicy::Product,
-        burst: None,
         max_pause_millis: 400,
-        link_bytes_per_second: None,
-        saves_flows: true,
-        learns_from_peers: false,
-        sets_clocks_back: false,
         zones: 3,
-        loss_per_mille: 0,
-        doubled_per_mille: 0,
-        faults: Vec::new(),
         duration_millis: 16_000,
-        has_archive_service: false,
-        moves_most_flows: false,
+        ..WorldPlan::default()
     }
 }
 
--- a/crates/flows/tests/fuzz.rs
+++ b/crates/flows/tests/fuzz.rs
@@ -13,7 +13,6 @@
 use rand::rngs::SmallRng;
 
 use crate::model::world::Fault;
-use crate::model::world::PlacingPolicy;
 use crate::model::world::World;
 use crate::model::world::WorldPlan;
 
@@ -51,23 +50,13 @@
         callers: random.random_range(10..=80),
         slots: random.random_range(1..=3),
         work_micros: (5_000, 40_000),
-        cold_percent: 100,
-        slow_hosts: 0,
-        failing_hosts: 0,
-        policy: PlacingPolicy::Product,
-        burst: None,
         max_pause_millis: 300,
-        link_bytes_per_second: None,
-        saves_flows: true,
-        learns_from_peers: false,
         sets_clocks_back: true,
-        zones: 1,
         loss_per_mille: random.random_range(0..=5),
-        doubled_per_mille: 0,
-        faults: Vec::new(),
         duration_millis: 20_000,
         has_archive_service: random.random_bool(0.4),
         moves_most_flows: random.random_bool(0.3),
+        ..WorldPlan::default()
     };
     for _ in 0..random.random_range(2..=14) {
         let at = random.random_range(3_000..18_000);
--- a/crates/flows/tests/heavy.rs
+++ b/crates/flows/tests/heavy.rs
@@ -46,25 +46,11 @@
         balancers: 3,
         hosts: 8,
         callers: 95,
-        slots: 2,
         work_micros: (10_000, 30_000),
-        cold_percent: 100,
-        slow_hosts: 0,
-        failing_hosts: 0,
-        policy: PlacingPolicy::Product,
-        burst: None,
         max_pause_millis: 200,
-        link_bytes_per_second: None,
         saves_flows: false,
-        learns_from_peers: false,
-        sets_clocks_back: false,
-        zones: 1,
-        loss_per_mille: 0,
-        doubled_per_mille: 0,
-        faults: Vec::new(),
         duration_millis: 14_000,
-        has_archive_service: false,
-        moves_most_flows: false,
+        ..WorldPlan::default()
     }
 }
 
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -229,6 +229,36 @@
     pub moves_most_flows: bool,
 }
 
+impl Default for WorldPlan {
+    /// Returns the plan of a small fleet without faults.
+    fn default() -> Self {
+        Self {
+            balancers: 3,
+            hosts: 8,
+            callers: 60,
+            slots: 2,
+            work_micros: (10_000, 30_000),
+            cold_percent: 100,
+            slow_hosts: 0,
+            failing_hosts: 0,
+            policy: PlacingPolicy::Product,
+            burst: None,
+            max_pause_millis: 300,
+            link_bytes_per_second: None,
+            saves_flows: true,
+            learns_from_peers: false,
+            sets_clocks_back: false,
+            zones: 1,
+            loss_per_mille: 0,
+            doubled_per_mille: 0,
+            faults: Vec::new(),
+            duration_millis: 20_000,
+            has_archive_service: false,
+            moves_most_flows: false,
+        }
+    }
+}
+
 /// An event of the simulation.
 #[derive(Debug)]
 enum Event {
--- a/crates/flows/tests/outage.rs
+++ b/crates/flows/tests/outage.rs
@@ -10,7 +10,6 @@
 use expect_test::expect;
 
 use crate::model::world::Fault;
-use crate::model::world::PlacingPolicy;
 use crate::model::world::World;
 use crate::model::world::WorldPlan;
 
@@ -27,25 +26,12 @@
         balancers: 8,
         hosts: 120,
         callers: 250,
-        slots: 2,
         work_micros: (20_000, 30_000),
-        cold_percent: 100,
-        slow_hosts: 0,
-        failing_hosts: 0,
-        policy: PlacingPolicy::Product,
-        burst: None,
         max_pause_millis: 600,
         link_bytes_per_second: Some(LINK_BYTES_PER_SECOND),
-        saves_flows: true,
-        learns_from_peers: false,
-        sets_clocks_back: false,
-        zones: 1,
-        loss_per_mille: 0,
-        doubled_per_mille: 0,
         faults: vec![(OUTAGE_MILLIS, Fault::LosePowerTogether)],
         duration_millis: 12_000,
-        has_archive_service: false,
-        moves_most_flows: false,
+        ..WorldPlan::default()
     }
 }
 
--- a/crates/flows/tests/reused_address.rs
+++ b/crates/flows/tests/reused_address.rs
@@ -6,7 +6,6 @@
 use expect_test::expect;
 
 use crate::model::world::Fault;
-use crate::model::world::PlacingPolicy;
 use crate::model::world::World;
 use crate::model::world::WorldPlan;
 
@@ -23,27 +22,16 @@
         balancers: 21,
         hosts: 55,
         callers: 250,
-        slots: 2,
         work_micros: (5_000, 40_000),
-        cold_percent: 100,
-        slow_hosts: 0,
-        failing_hosts: 0,
-        policy: PlacingPolicy::Product,
-        burst: None,
         max_pause_millis: 300,
-        link_bytes_per_second: None,
-        saves_flows: true,
         learns_from_peers: true,
-        sets_clocks_back: false,
-        zones: 1,
         loss_per_mille: 2,
-        doubled_per_mille: 0,
         faults: (1..=REUSED_COUNT)
             .map(|host| (5_000, Fault::ReuseAddress(host)))
             .collect(),
         duration_millis: 10_000,
         has_archive_service: true,
-        moves_most_flows: false,
+        ..WorldPlan::default()
     }
 }
 
