Do not take an answer to an opening packet for a held flow

Cause: the answer of a server to an opening packet is lost, the flow opens at another server, and the first one repeats its answer. Its host took any packet of the server but a reset for the proof that the server holds the flow. After a restart it recorded a flow that a balancer had reported as open, and reset it when the server returned the caller's next packet.

Why it works: an answer to an opening packet shows that the flow has not opened there. The host now delivers the next packet only if it acknowledges this answer, and otherwise returns it to the balancer. It also claims the flow once for each offer and not with each repetition, so that balancers no longer take the host for the owner again and again.

--- a/crates/flows/src/host/opening.rs
+++ b/crates/flows/src/host/opening.rs
@@ -110,7 +110,8 @@
                 return;
             }
         };
-        if self.has_pending_opening(&flow) {
+        if let Some(record) = self.find_pending_opening(&flow) {
+            record.record_repeated_offer(balancer);
             self.deliver_packet(&flow, packet, now, outbox);
             return;
         }
@@ -200,12 +201,12 @@
         Some(age.as_millis() as u32)
     }
 
-    /// Returns whether an opening packet of the flow was delivered to the server, and no
+    /// Returns the record of a flow whose opening packet was delivered to the server, if no
     /// later packet of the caller was.
-    fn has_pending_opening(&self, flow: &FlowKey) -> bool {
+    fn find_pending_opening(&mut self, flow: &FlowKey) -> Option<&mut FlowRecord> {
         self.flows
-            .get(flow)
-            .is_some_and(|record| record.phase == FlowPhase::Offered)
+            .get_mut(flow)
+            .filter(|record| record.phase == FlowPhase::Offered)
     }
 
     /// Decides about a new flow by the state of the server and the load.
--- a/crates/flows/src/host/records.rs
+++ b/crates/flows/src/host/records.rs
@@ -18,6 +18,7 @@
 use crate::host::SHARDS_PER_TICK;
 use crate::host::load::LoadMeter;
 use crate::host::opening::FlowOffer;
+use crate::host::tracking::ServerEvidence;
 use crate::outbox::FlowOutbox;
 use crate::packet::PacketHeader;
 
@@ -44,7 +45,8 @@
 /// The state of a flow at a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum FlowPhase {
-    /// The opening packet was delivered to the server; no later packet of the caller was.
+    /// The opening packet was delivered to the server, which may have answered it; no later
+    /// packet of the caller was. The flow may open at another server.
     Offered,
     /// It is unknown whether the server holds the flow. The caller's packets are delivered
     /// to the server, which returns them if it does not.
@@ -82,6 +84,9 @@
     /// The offer with which the opening packet, or the last packet that probes the server, was
     /// forwarded. It is needed if the server does not accept the packet.
     pub(super) offer: Option<Box<FlowOffer>>,
+    /// Whether the balancer that has offered the flow does not know yet that the server has
+    /// answered the opening packet.
+    is_claim_due: bool,
     is_caller_closed: bool,
     is_server_closed: bool,
 }
@@ -94,6 +99,7 @@
             caller_start: Some(opening.sequence),
             balancer: offer.header.balancer,
             offer: Some(Box::new(offer)),
+            is_claim_due: true,
             ..Self::observed(now)
         }
     }
@@ -121,6 +127,7 @@
             delivered_end: None,
             request_started_at: None,
             offer: None,
+            is_claim_due: false,
             is_caller_closed: false,
             is_server_closed: false,
         }
@@ -145,6 +152,56 @@
         }
     }
 
+    /// Records that `balancer` offers the flow, whose opening packet the server already has, and
+    /// expects a claim when the server answers.
+    pub(super) fn record_repeated_offer(&mut self, balancer: Ipv4Addr) {
+        self.balancer = balancer;
+        self.is_claim_due = true;
+    }
+
+    /// Updates the phase by a packet of the server, and returns whether the balancer is to be
+    /// told that the server holds the flow.
+    pub(super) fn apply_evidence(
+        &mut self,
+        evidence: ServerEvidence,
+        load: &mut LoadMeter,
+        now: MonotonicTime,
+    ) -> bool {
+        match (evidence, self.phase) {
+            (ServerEvidence::Answered(server_start), FlowPhase::Offered) => {
+                self.server_start = Some(server_start);
+                std::mem::take(&mut self.is_claim_due)
+            }
+            (ServerEvidence::Answered(server_start), FlowPhase::Probed)
+                if self.acknowledged == server_start.wrapping_add(1) =>
+            {
+                // The server sent this before it got the packet that opened the flow.
+                self.server_start = Some(server_start);
+                self.phase = FlowPhase::Open;
+                true
+            }
+            (ServerEvidence::Answered(server_start), FlowPhase::Probed | FlowPhase::Absent) => {
+                if let Some(started_at) = self.request_started_at.take() {
+                    load.discard_request(started_at);
+                }
+                // The position that the caller has acknowledged is that of another server.
+                *self = Self {
+                    balancer: self.balancer,
+                    offer: self.offer.take(),
+                    ..Self::accepted(server_start, now)
+                };
+                false
+            }
+            (ServerEvidence::Held, FlowPhase::Probed | FlowPhase::Absent) => {
+                self.phase = FlowPhase::Open;
+                true
+            }
+            (ServerEvidence::Answered(_) | ServerEvidence::Held | ServerEvidence::Reset, _) => {
+                false
+            }
+        }
+    }
+
     /// Returns whether a caller that acknowledged `position` is reading this server's
     /// stream, and not that of another server. If the caller has acknowledged nothing
     /// before, `position` must acknowledge the start of the stream and no data.
--- a/crates/flows/src/host/tracking.rs
+++ b/crates/flows/src/host/tracking.rs
@@ -2,6 +2,7 @@
 //! progress, and which packets the server does not accept.
 
 use hyssopstair_wire::carried::FlowKey;
+use hyssopstair_wire::carried::ForwardPurpose;
 use hyssopstair_wire::time::MonotonicTime;
 
 use crate::event::BreakReason;
@@ -11,8 +12,34 @@
 use crate::host::records::FlowRecord;
 use crate::outbox::Destination;
 use crate::outbox::FlowOutbox;
+use crate::packet::PacketHeader;
 use crate::packet::RawPacket;
 
+/// What a packet of the server shows about its flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ServerEvidence {
+    /// The server has answered the opening packet, with a stream that starts at this position.
+    /// It repeats the answer until the caller acknowledges it, which never happens if the flow
+    /// has opened at another server.
+    Answered(u32),
+    /// The server holds the flow: only the server at which a flow has opened sends such packets.
+    Held,
+    /// The server has reset the flow, or never held it.
+    Reset,
+}
+
+impl ServerEvidence {
+    fn from_header(header: &PacketHeader) -> Self {
+        if header.is_reset {
+            Self::Reset
+        } else if header.is_open && header.has_ack {
+            Self::Answered(header.sequence)
+        } else {
+            Self::Held
+        }
+    }
+}
+
 impl FlowHost {
     /// Delivers a packet to the server and tracks the caller's side of its flow.
     pub(super) fn deliver_packet(
@@ -61,26 +88,20 @@
         outbox: &mut FlowOutbox,
     ) {
         let header = &packet.header;
+        let evidence = ServerEvidence::from_header(header);
         let Some(record) = self.flows.get_mut(flow) else {
             // The flow was opened before this process started.
-            if header.is_open && header.has_ack {
-                let record = FlowRecord::accepted(header.sequence, now);
-                self.flows.insert(*flow, record);
-            } else if !header.is_reset {
-                self.flows.insert(*flow, FlowRecord::observed(now));
-            }
+            let record = match evidence {
+                ServerEvidence::Answered(server_start) => FlowRecord::accepted(server_start, now),
+                ServerEvidence::Held => FlowRecord::observed(now),
+                ServerEvidence::Reset => return,
+            };
+            self.flows.insert(*flow, record);
             return;
         };
         record.last_used_at = now;
-        let mut balancer_to_notify = None;
-        if header.is_open && header.has_ack && record.phase == FlowPhase::Offered {
-            record.server_start = Some(header.sequence);
-            balancer_to_notify = Some(record.balancer);
-        }
-        if matches!(record.phase, FlowPhase::Probed | FlowPhase::Absent) && !header.is_reset {
-            record.phase = FlowPhase::Open;
-            balancer_to_notify = Some(record.balancer);
-        }
+        let is_claimed = record.apply_evidence(evidence, &mut self.load, now);
+        let balancer_to_notify = is_claimed.then_some(record.balancer);
         let is_answer = header.data_length > 0 || record.ends_after_unacknowledged_data(header);
         let is_closed = header.is_finish || header.is_reset;
         let request_started_at = if is_answer || is_closed {
@@ -157,7 +178,17 @@
                     reason: BreakReason::ServerForgot,
                 });
             }
-            FlowPhase::Offered | FlowPhase::Closed | FlowPhase::Absent | FlowPhase::Broken => {}
+            FlowPhase::Offered => {
+                // The server was probed before it repeated its answer to the opening packet.
+                let probe = record.offer.take_if(|offer| {
+                    let purpose = offer.header.purpose;
+                    matches!(purpose, ForwardPurpose::Owner | ForwardPurpose::Probe)
+                });
+                if let Some(probe) = probe {
+                    self.decline_packet(&probe.header, packet, now, outbox);
+                }
+            }
+            FlowPhase::Closed | FlowPhase::Absent | FlowPhase::Broken => {}
         }
     }
 }
--- a/crates/flows/tests/model/server.rs
+++ b/crates/flows/tests/model/server.rs
@@ -67,12 +67,7 @@
         let start = stream_start(host, self.incarnation);
         if packet.is_open {
             self.flows.entry(flow).or_insert(0);
-            return ServerReaction::Reply(ModelPacket {
-                is_open: true,
-                has_ack: true,
-                sequence: start,
-                ..ModelPacket::new(packet.destination, packet.source)
-            });
+            return ServerReaction::Reply(self.build_opening_answer(host, &flow));
         }
         // A flow opens only at the server whose stream the caller acknowledges.
         let is_accepted = packet.acknowledged == start + 1;
@@ -91,6 +86,22 @@
         ServerReaction::Run
     }
 
+    /// Returns whether the server has answered the opening packet of a flow, and has got no
+    /// request on it.
+    pub fn is_unopened(&self, flow: &FlowKey) -> bool {
+        self.flows.get(flow) == Some(&0)
+    }
+
+    /// Returns the answer to the opening packet of a flow.
+    pub fn build_opening_answer(&self, host: u8, flow: &FlowKey) -> ModelPacket {
+        ModelPacket {
+            is_open: true,
+            has_ack: true,
+            sequence: stream_start(host, self.incarnation),
+            ..ModelPacket::new(flow.target, flow.caller)
+        }
+    }
+
     /// Returns the answer to the last request of a flow, or `None` if the server does not
     /// hold the flow.
     pub fn build_answer(&self, host: u8, flow: &FlowKey) -> Option<ModelPacket> {
--- a/crates/flows/tests/model/world/links.rs
+++ b/crates/flows/tests/model/world/links.rs
@@ -42,6 +42,13 @@
         self.schedule_after(delay, Event::PeerDatagram { to, from, bytes });
     }
 
+    /// Returns whether a packet to a caller is the answer to an opening packet, and drawn to be
+    /// lost.
+    pub(super) fn is_lost_answer(&mut self, packet: &ModelPacket) -> bool {
+        let lost_per_mille = self.plan.lost_answers_per_mille;
+        lost_per_mille > 0 && packet.is_open && self.random.random_range(0..1_000) < lost_per_mille
+    }
+
     /// Cuts the links from one zone to another for [`ZONE_CUT_MICROS`]. The processes of both
     /// zones count as disturbed.
     pub(super) fn cut_zones(&mut self, from: u8, to: u8) {
--- a/crates/flows/tests/model/world/mod.rs
+++ b/crates/flows/tests/model/world/mod.rs
@@ -217,6 +217,9 @@
     /// Number of datagrams between processes that arrive twice, the second time up to 300 ms
     /// later, per thousand.
     pub doubled_per_mille: u32,
+    /// Number of answers to opening packets that are lost on the way to callers, per thousand.
+    /// If it is not zero, servers repeat such an answer until the caller acknowledges it.
+    pub lost_answers_per_mille: u32,
     /// Faults with their times in milliseconds.
     pub faults: Vec<(u64, Fault)>,
     /// Duration of the simulation in milliseconds.
@@ -251,6 +254,7 @@
             zones: 1,
             loss_per_mille: 0,
             doubled_per_mille: 0,
+            lost_answers_per_mille: 0,
             faults: Vec::new(),
             duration_millis: 20_000,
             has_archive_service: false,
@@ -281,6 +285,13 @@
         incarnation: u64,
         flow: FlowKey,
     },
+    /// A server repeats its answer to the opening packet of a flow that has not opened.
+    RepeatAnswer {
+        host: u8,
+        incarnation: u64,
+        flow: FlowKey,
+        repetition: u32,
+    },
     /// A balancer that was suspended receives a caller's packet.
     ReceiveAtBalancer {
         balancer: Ipv4Addr,
@@ -540,6 +551,12 @@
                 incarnation,
                 flow,
             } => self.finish_request(host, incarnation, &flow),
+            Event::RepeatAnswer {
+                host,
+                incarnation,
+                flow,
+                repetition,
+            } => self.repeat_answer(host, incarnation, flow, repetition),
             Event::ReceiveAtBalancer { balancer, packet } => {
                 self.receive_at_balancer(balancer, &packet)
             }
@@ -782,7 +799,8 @@
                     }
                 }
                 Destination::Caller(_) => {
-                    if let Some(packet) = ModelPacket::decode(bytes) {
+                    let packet = ModelPacket::decode(bytes);
+                    if let Some(packet) = packet.filter(|packet| !self.is_lost_answer(packet)) {
                         self.schedule_after(
                             CALLER_DELAY_MICROS,
                             Event::ToCaller {
--- a/crates/flows/tests/model/world/servers.rs
+++ b/crates/flows/tests/model/world/servers.rs
@@ -29,6 +29,15 @@
 /// Number of heartbeats of a server from one heartbeat of another writer to the next.
 const OTHER_WRITER_INTERVAL: u64 = 3;
 
+/// Time after which a server repeats its answer to an opening packet, in microseconds.
+const FIRST_REPEAT_MICROS: u64 = 200_000;
+
+/// Number of times that this time doubles.
+const MAX_REPEAT_DOUBLINGS: u32 = 3;
+
+/// Number of repetitions after which a server gives up.
+const MAX_ANSWER_REPETITIONS: u32 = 8;
+
 /// Factor by which the requests of a slow server take longer.
 const SLOW_FACTOR: u64 = 4;
 
@@ -137,7 +146,13 @@
         self.check_delivery(host, &flow, packet);
         let server = &mut self.servers[usize::from(host) - 1];
         match server.receive_packet(host, packet) {
-            ServerReaction::Reply(reply) => self.receive_from_server(address, &reply),
+            ServerReaction::Reply(reply) => {
+                let incarnation = server.incarnation;
+                if reply.is_open && self.plan.lost_answers_per_mille > 0 {
+                    self.schedule_answer(host, incarnation, flow, 1);
+                }
+                self.receive_from_server(address, &reply);
+            }
             ServerReaction::Run => {
                 let incarnation = server.incarnation;
                 let queued = u64::from(server.running_requests.saturating_sub(self.plan.slots));
@@ -181,6 +196,39 @@
         }
     }
 
+    /// Schedules a repetition of the answer to an opening packet. The first comes after 200 ms,
+    /// and the interval doubles each time, up to 1.6 s.
+    fn schedule_answer(&mut self, host: u8, incarnation: u64, flow: FlowKey, repetition: u32) {
+        let interval = FIRST_REPEAT_MICROS << (repetition - 1).min(MAX_REPEAT_DOUBLINGS);
+        self.schedule(
+            self.now + interval,
+            Event::RepeatAnswer {
+                host,
+                incarnation,
+                flow,
+                repetition,
+            },
+        );
+    }
+
+    /// Repeats the answer to an opening packet, unless the flow has opened at the server.
+    pub(super) fn repeat_answer(
+        &mut self,
+        host: u8,
+        incarnation: u64,
+        flow: FlowKey,
+        repetition: u32,
+    ) {
+        let server = &self.servers[usize::from(host) - 1];
+        let is_running = server.is_alive && server.incarnation == incarnation;
+        if !is_running || !server.is_unopened(&flow) || repetition > MAX_ANSWER_REPETITIONS {
+            return;
+        }
+        let answer = server.build_opening_answer(host, &flow);
+        self.schedule_answer(host, incarnation, flow, repetition + 1);
+        self.receive_from_server(fixture::host_address(host), &answer);
+    }
+
     /// Reports to the oracle which server got a packet.
     pub(super) fn check_delivery(&mut self, host: u8, flow: &FlowKey, packet: &ModelPacket) {
         let millis = self.millis();
