Reset a flow by its owner's denial only if it has opened there

A balancer whose offer a host had answered took that host for the only possible owner, although another balancer had offered the caller's next copy to another host. When the supposed owner returned a packet, the balancer did not wait for the host that held the flow, whose server was being probed.

Why it works: the shortcut now needs evidence that the flow opened at the owner: a claim that answers a search, or a caller that has acknowledged more while its packets went there. Otherwise all hosts that may hold the flow are asked.

Tests: a_flow_that_a_host_has_only_answered_is_not_reset_because_it_denies_the_flow failed before. a_flow_whose_own_host_denies_it_is_reset_while_another_host_is_silent asked for the reset after a claim alone, which is the fault; it now plays a flow that has opened at the host and asks for the same reset at the same time.

--- a/crates/flows/src/balancer/mod.rs
+++ b/crates/flows/src/balancer/mod.rs
@@ -81,14 +81,23 @@
 /// data after 200 ms; before that, packets may have overtaken each other.
 const MIN_REPEAT_DELAY: Duration = Duration::from_millis(100);
 
+/// Time within which a host returns a packet of a flow that its server does not hold.
+const MAX_RETURN_TIME: Duration = Duration::from_millis(200);
+
 /// Last known owner of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct FlowHint {
     owner: Ipv4Addr,
     last_used_at: MonotonicTime,
-    /// Whether no other host can hold the flow: the owner itself has claimed it,
-    /// and the opening packet was offered to no other host.
+    /// Whether no other host is known to which the flow may have been offered: the owner
+    /// itself has claimed it, and this balancer has offered it to no other host.
     is_exclusive: bool,
+    /// Whether the flow is known to have opened at the owner. A claim after an offer only shows
+    /// that its server has answered the opening packet.
+    is_opened: bool,
+    /// The first packet of the open flow that was forwarded to the owner: when, and which
+    /// position it acknowledged.
+    first_forwarded: Option<(MonotonicTime, u32)>,
     /// Whether the caller has finished or reset the flow.
     is_finished: bool,
     /// Whether this balancer has forwarded a packet of the flow; if not, it only knows the
@@ -106,6 +115,9 @@
         self.last_used_at = now;
         self.is_finished |= header.is_finish || header.is_reset;
         self.is_carried = true;
+        if header.has_ack {
+            self.record_acknowledged(header.acknowledged, now);
+        }
         if header.data_length == 0 {
             return false;
         }
@@ -117,6 +129,20 @@
         now.since(self.forwarded_at) >= MIN_REPEAT_DELAY
     }
 
+    /// Records the position that a caller's packet acknowledges. A caller that has read more
+    /// since the owner got the first packet, and has not returned it, reads the owner's stream.
+    fn record_acknowledged(&mut self, acknowledged: u32, now: MonotonicTime) {
+        let (first_at, first_acknowledged) =
+            *self.first_forwarded.get_or_insert((now, acknowledged));
+        let has_read_more = acknowledged != first_acknowledged;
+        self.is_opened |= has_read_more && now.since(first_at) >= MAX_RETURN_TIME;
+    }
+
+    /// Returns whether the flow cannot be open at another host.
+    fn is_only_owner(&self) -> bool {
+        self.is_exclusive && self.is_opened
+    }
+
     /// Returns whether other balancers may still receive packets of the flow.
     fn is_worth_sharing(&self, now: MonotonicTime) -> bool {
         self.is_carried
@@ -420,9 +446,11 @@
             !hint.is_exclusive || (hint.owner != owner && is_recent)
         });
         let is_exclusive = !is_ambiguous && !self.has_several_offers(&flow);
+        let is_answer_to_search = self.is_searched(&flow);
         self.record_owner(flow, owner, is_exclusive, now);
         if let Some(hint) = self.hints.get_mut(&flow) {
             hint.is_carried = true;
+            hint.is_opened = is_answer_to_search;
         }
     }
 
@@ -437,6 +465,8 @@
             owner,
             last_used_at: now,
             is_exclusive,
+            is_opened: false,
+            first_forwarded: None,
             is_finished: false,
             is_carried: false,
             forwarded_end: None,
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -102,8 +102,7 @@
     is_first_round: bool,
     /// Whether hosts that did not answer were queried again.
     is_retried: bool,
-    /// Whether the host that the table named as the exclusive owner has denied the
-    /// flow.
+    /// Whether the host at which the flow has opened has denied it.
     was_denied_by_owner: bool,
 }
 
@@ -241,11 +240,11 @@
             }
             _ => {
                 let hint = self.hints.remove(&flow);
-                let was_exclusive = hint.is_some_and(|hint| hint.is_exclusive);
+                let was_only_owner = hint.is_some_and(|hint| hint.is_only_owner());
                 self.search_for_owner(packet, now, outbox);
                 if let Ok(index) = self.find_search(&flow) {
                     let search = &mut self.searches[index];
-                    search.was_denied_by_owner = was_exclusive;
+                    search.was_denied_by_owner = was_only_owner;
                     search.remove_host(from);
                 }
             }
@@ -393,6 +392,11 @@
         }
     }
 
+    /// Returns whether a search for the owner of the flow is pending.
+    pub(super) fn is_searched(&self, flow: &FlowKey) -> bool {
+        self.find_search(flow).is_ok()
+    }
+
     fn find_search(&self, flow: &FlowKey) -> Result<usize, usize> {
         self.searches
             .binary_search_by_key(flow, |search| search.flow)
--- a/crates/flows/tests/search.rs
+++ b/crates/flows/tests/search.rs
@@ -159,19 +159,29 @@
     expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&take_output(&mut outbox));
 }
 
-#[test]
-fn a_flow_whose_own_host_denies_it_is_reset_while_another_host_is_silent() {
+/// Plays a flow that host 1 claims at 1.5 s and whose packet it returns at 2.01 s. The caller
+/// acknowledges these positions 0.05 s after the claim and every 0.3 s from then on. Host 2
+/// denies the flow, and host 3 is silent. Returns the resets.
+fn deny_claimed_flow(acknowledged_positions: &[u32]) -> String {
     let mut outbox = FlowOutbox::default();
     let mut balancer = new_balancer_with_hosts(&mut outbox);
     receive_hellos_until(&mut balancer, 2_000, &mut outbox);
     receive_host_hello(&mut balancer, 3, &host_hello(1, 0), at(500), &mut outbox);
+    balancer.receive_caller_packet(&raw_packet(&opening_packet(4_001)), at(1_499), &mut outbox);
     let claim = CarryMessage::Owned {
         flow: request_packet(4_001).caller_flow(),
         load: Default::default(),
     };
-    balancer.receive_peer_message(host_address(1), &claim, None, &[], at(1_900), &mut outbox);
+    balancer.receive_peer_message(host_address(1), &claim, None, &[], at(1_500), &mut outbox);
+    for (number, acknowledged) in acknowledged_positions.iter().enumerate() {
+        let packet = PacketHeader {
+            acknowledged: *acknowledged,
+            ..request_packet(4_001)
+        };
+        let now = at(1_550 + 300 * number as u64);
+        balancer.receive_caller_packet(&raw_packet(&packet), now, &mut outbox);
+    }
     return_packet(&mut balancer, host_address(1), 2_010, &mut outbox);
-    outbox.clear();
     deny_flow(&mut balancer, 2, true, 2_011, &mut outbox);
     for millis in (2_020..2_100).step_by(10) {
         balancer.tick(at(millis), &mut outbox);
@@ -181,7 +191,21 @@
         .lines()
         .filter(|line| line.starts_with("reset"))
         .collect();
-    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&resets.join("\n"));
+    resets.join("\n")
+}
+
+#[test]
+fn a_flow_whose_own_host_denies_it_is_reset_while_another_host_is_silent() {
+    expect!["reset 100.64.0.7:4001 at 5001"].assert_eq(&deny_claimed_flow(&[5_001, 5_601]));
+}
+
+// Failure: the first copy of an opening packet came to this balancer, and the answer of host 1 to
+// it was lost. The next copy went to another balancer, and the flow opened at host 3. Later the
+// caller's packets came to this balancer, which took host 1 for the only possible owner.
+#[test]
+fn a_flow_that_a_host_has_only_answered_is_not_reset_because_it_denies_the_flow() {
+    expect![""].assert_eq(&deny_claimed_flow(&[5_001]));
+    expect![""].assert_eq(&deny_claimed_flow(&[]));
 }
 
 #[test]
